--- a/src/bin/cobaltdyke-drill/main.rs
+++ b/src/bin/beamgap-simhost/main.rs
@@ -9,7 +9,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("cobaltdyke-drill: {text}");
+            eprintln!("beamgap-simhost: {text}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/cobaltdyke-drill/wire.rs
+++ b/src/bin/beamgap-simhost/wire.rs
@@ -1,21 +1,12 @@
 //! The simulator's wire: lines of text to events, actions to lines of text. Nothing is decided here.
 
 use base64::prelude::{Engine as _, BASE64_STANDARD};
-use cobaltdyke::*;
+use beamgap::settings::{bad, micros, number, report_field, settings, Parsed};
+use beamgap::*;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::sync::Arc;
 
-/// A line that is not as it should be: what was found, what was expected.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Malformed(pub String);
-
-type Parsed<T> = Result<T, Malformed>;
-
-fn bad<T>(found: &str, expected: &str) -> Parsed<T> {
-    Err(Malformed(format!("found '{}', expected {expected}", found.chars().take(60).collect::<String>())))
-}
-
 /// The parts of a line, taken one by one.
 struct Parts<'a>(std::str::Split<'a, char>);
 
@@ -52,17 +43,6 @@
     }
 }
 
-fn number(part: &str, what: &str) -> Parsed<f64> {
-    match part.parse::<f64>() {
-        Ok(value) if value.is_finite() => Ok(value),
-        _ => bad(part, what),
-    }
-}
-
-fn micros(ms: f64) -> Micros {
-    Micros((ms * 1000.0).round().max(0.0) as u64)
-}
-
 /// A line of a batch.
 #[derive(Debug)]
 pub enum Line {
@@ -253,177 +233,11 @@
     for pair in text.split(',') {
         let Some((name, value)) = pair.split_once(':') else { return bad(pair, "a name:value pair") };
         let value = number(value, "a number")?;
-        match name {
-            "outstanding" => report.in_flight = Some(value),
-            "backlog" => report.queued = Some(value),
-            "utilization" => report.busy = Some(value),
-            "x0" => report.memory_share = Some(value),
-            "x1" => report.disk_share = Some(value),
-            other => {
-                report.other.insert(other.to_owned(), value);
-            }
-        }
+        report_field(&mut report, name, value);
     }
     Ok(Some(report))
 }
 
-/// Settings by their paths.
-struct Pairs<'a>(&'a HashMap<String, String>);
-
-impl Pairs<'_> {
-    fn text(&self, path: &str) -> Option<&str> {
-        self.0.get(path).map(String::as_str).filter(|v| !v.is_empty() && *v != "-")
-    }
-    fn number(&self, path: &str) -> Parsed<Option<f64>> {
-        self.text(path).map(|v| number(v, &format!("a number for {path}"))).transpose()
-    }
-    fn time(&self, path: &str) -> Parsed<Option<Micros>> {
-        Ok(self.number(path)?.map(micros))
-    }
-    fn flag(&self, path: &str) -> Parsed<Option<bool>> {
-        match self.text(path) {
-            None => Ok(None),
-            Some("true" | "1") => Ok(Some(true)),
-            Some("false" | "0") => Ok(Some(false)),
-            Some(other) => bad(other, &format!("true or false for {path}")),
-        }
-    }
-    fn list(&self, path: &str) -> Option<Vec<String>> {
-        let value = self.0.get(path)?;
-        Some(value.split(',').filter(|v| !v.is_empty()).map(str::to_owned).collect())
-    }
-    fn numbers(&self, path: &str, length: usize) -> Parsed<Option<Vec<f64>>> {
-        let Some(list) = self.list(path) else { return Ok(None) };
-        if list.len() != length {
-            return bad(&format!("{path} of length {}", list.len()), &format!("length {length}"));
-        }
-        list.iter().map(|v| number(v, &format!("numbers for {path}"))).collect::<Parsed<Vec<f64>>>().map(Some)
-    }
-    fn flags(&self, path: &str, length: usize) -> Parsed<Option<Vec<bool>>> {
-        let Some(list) = self.list(path) else { return Ok(None) };
-        if list.len() != length {
-            return bad(&format!("{path} of length {}", list.len()), &format!("length {length}"));
-        }
-        Ok(Some(list.iter().map(|v| v == "true" || v == "1").collect()))
-    }
-    fn count(&self, path: &str) -> Parsed<usize> {
-        let path = format!("{path}.count");
-        match self.text(&path) {
-            None => Ok(0),
-            Some(v) => v.parse().or_else(|_| bad(v, &format!("a count for {path}"))),
-        }
-    }
-    fn one_of<T: Copy>(&self, path: &str, choices: &[(&str, T)], absent: T) -> Parsed<T> {
-        let Some(text) = self.text(path) else { return Ok(absent) };
-        let found = choices.iter().find(|(word, _)| *word == text).map(|(_, value)| *value);
-        found.map_or_else(|| bad(text, &format!("a known word for {path}")), Ok)
-    }
-}
-
-/// Reads the settings of a start line; keys that are not known are passed over, absent ones bind nothing.
-pub fn settings(pairs: &HashMap<String, String>) -> Parsed<Settings> {
-    let p = Pairs(pairs);
-    let classes = p.count("Classes")?;
-    let threads = p.numbers("Domain.ThreadsByClass", classes)?;
-    let holds = p.flags("Domain.ClassLoad", classes)?;
-    let waits = p.flags("Domain.ClassWaits", classes)?;
-    let mut s = Settings::plain(Vec::new());
-    for i in 0..classes {
-        let at = |key: &str| format!("Classes.{i}.{key}");
-        let Some(deadline) = p.time(&at("HardLimit"))? else { return bad("no value", &at("HardLimit")) };
-        let window = p.time(&at("Window"))?.unwrap_or_default();
-        let group = p.one_of(
-            &at("KeyScope"),
-            &[("all", RepeatGroup::All), ("zone", RepeatGroup::Zone), ("cell", RepeatGroup::Cell)],
-            RepeatGroup::All,
-        )?;
-        let name = p.text(&at("Name")).unwrap_or("").to_owned();
-        let mut class = ClassSettings::plain(&name, p.time(&at("OnTime"))?.unwrap_or(deadline), deadline);
-        class.aim_stretch = p.number(&at("AimStretch"))?.unwrap_or(0.0);
-        class.worth = p.number(&at("Value"))?.unwrap_or(1.0);
-        class.late_worth = p.number(&at("LateWorth"))?.unwrap_or(0.0);
-        class.repeat = p.one_of(
-            &at("Repeat"),
-            &[
-                ("pure", Repeat::Safe),
-                ("token", Repeat::Keyed { group, window }),
-                ("side_effect", Repeat::Unsafe),
-            ],
-            Repeat::Unsafe,
-        )?;
-        class.in_order = p.flag(&at("ByArrival"))?.unwrap_or(false);
-        class.kinds = p.list(&at("MachineTypesOpen"));
-        class.zones = p.list(&at("AzsAllowed"));
-        class.threads = threads.as_ref().map_or(1.0, |t| t[i]);
-        class.holds_tables = holds.as_ref().is_some_and(|h| h[i]);
-        class.waits_for_holder = waits.as_ref().is_some_and(|w| w[i]);
-        s.classes.push(class);
-    }
-    let kinds = p.list("MachineTypes").unwrap_or_default();
-    let cores = p.numbers("Domain.CoresByKind", kinds.len())?;
-    let memory = p.numbers("Domain.RamOfKindMb", kinds.len())?;
-    for (i, name) in kinds.into_iter().enumerate() {
-        let (cores, memory_mb) = (cores.as_ref().map(|c| c[i]), memory.as_ref().map(|m| m[i]));
-        s.kinds.push(KindSettings { name, cores, memory_mb });
-    }
-    for i in 0..p.count("Parties")? {
-        let name = p.text(&format!("Parties.{i}.Name")).unwrap_or("").to_owned();
-        s.tenants.push(TenantSettings { name, quota_per_s: p.number(&format!("Parties.{i}.QuotaPerS"))? });
-    }
-    s.gateways = p.number("Balancers")?.unwrap_or(1.0) as u32;
-    s.me = p.number("Me")?.unwrap_or(0.0) as u32;
-    s.zone = p.text("Zone").map(str::to_owned);
-    s.over_share_worth = p.number("OverShareWorth")?.unwrap_or(1.0);
-    s.reports = p.one_of(
-        "Report.How",
-        &[("inline", Reports::InAnswers), ("on_probe", Reports::InProbes), ("off", Reports::Absent)],
-        Reports::Absent,
-    )?;
-    let ask_within = p.time("Contract.AskWithin")?.unwrap_or(Micros(u64::MAX));
-    s.discovery = p.one_of(
-        "MembershipMode",
-        &[("automatic", Discovery::Pushed), ("subscribe", Discovery::Subscribed { ask_within })],
-        Discovery::Pushed,
-    )?;
-    s.send_cap = p.number("Limits.SendCap")?.map(|cap| cap as u32);
-    s.second_copies = p.flag("Limits.SecondCopies")?.unwrap_or(false);
-    s.cancel = p.flag("Limits.Cancel")?.unwrap_or(false);
-    s.probes = p.flag("Limits.Probes")?.unwrap_or(false);
-    s.peers = p.flag("Limits.PeerMessages")?.unwrap_or(false);
-    if p.flag("Limits.RetryAfter")?.unwrap_or(false) {
-        s.retry_after = p.time("Limits.MaxRetryAfter")?;
-    }
-    if let Some(per_request) = p.number("Contract.ExtraRatio")? {
-        let free = p.number("Contract.MinExtra")?.unwrap_or(0.0);
-        let span = p.time("Contract.RatioSpan")?.unwrap_or(Micros(u64::MAX));
-        s.budget = Some(AttemptBudget { free, per_request, span });
-    } else if let Some(free) = p.number("Contract.MinExtra")? {
-        let span = p.time("Contract.RatioSpan")?.unwrap_or(Micros(u64::MAX));
-        s.budget = Some(AttemptBudget { free, per_request: 0.0, span });
-    }
-    if let (Some(fall_multiple), Some(fall_span)) =
-        (p.number("Contract.FallMultiple")?, p.time("Contract.Fall")?)
-    {
-        let start_share = p.number("Contract.StartCapacity")?.unwrap_or(0.0);
-        let warm_within = p.time("Contract.WarmWithin")?.unwrap_or_default();
-        s.cold = Some(ColdRule { start_share, warm_within, fall_multiple, fall_span });
-    }
-    s.drain_grace = p.time("Contract.DrainGrace")?.unwrap_or_default();
-    s.key_rest = p.time("Contract.TurnGap")?.unwrap_or_default();
-    s.grants = p.flag("Domain.Grants")?.unwrap_or(false);
-    s.priorities = p.flag("Domain.Priorities")?.unwrap_or(false);
-    s.when_short = p.one_of(
-        "Domain.OutOfMemory",
-        &[("line_up", WhenShort::Waits), ("cut", WhenShort::GetsLess), ("overcommit", WhenShort::LetIn)],
-        WhenShort::Waits,
-    )?;
-    s.largest_grant = p.number("Domain.LargestShare")?.unwrap_or(1.0);
-    s.notes_every = p.time("Domain.TellsEvery")?.filter(|every| every.0 > 0);
-    s.tells_cost = p.flag("Domain.TellsCost")?.unwrap_or(false);
-    s.check().or_else(|e| bad(&e.to_string(), "settings that make sense"))?;
-    Ok(s)
-}
-
 /// Writes one action of an instance as a line.
 pub fn write(inst: u32, action: &Action, out: &mut String) {
     let ms = |t: &Micros| format!("{}.{:03}", t.0 / 1000, t.0 % 1000);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 //! `docs/design.md` tells what was kept and what was added.
 //!
 //! ```
-//! use cobaltdyke::*;
+//! use beamgap::*;
 //! use std::sync::Arc;
 //!
 //! let class = ClassSettings::plain("lookup", Micros::from_millis(600), Micros::from_millis(3000));
@@ -42,6 +42,8 @@
 
 mod api;
 mod decide;
+pub mod node;
+pub mod settings;
 mod state;
 
 pub use api::*;
--- /dev/null
+++ b/src/node/backend/mod.rs
@@ -0,0 +1,22 @@
+//! Engines as the node reaches them: the platform's warehouses, and boxes that speak MySQL.
+
+pub mod mysql;
+pub mod warehouse;
+
+use super::deadlines::Deadlines;
+use super::exchange::Heard;
+use mio::Registry;
+
+/// What a backend or a front works with while it handles one thing.
+pub struct Cx<'a> {
+    /// Now, in Unix milliseconds.
+    pub now: f64,
+    /// Where sockets are registered.
+    pub registry: &'a Registry,
+    /// All deadlines.
+    pub deadlines: &'a mut Deadlines,
+    /// What the core is to hear.
+    pub heard: &'a mut Vec<Heard>,
+    /// Lines for the log.
+    pub log: &'a mut Vec<String>,
+}
--- /dev/null
+++ b/src/node/backend/mysql.rs
@@ -0,0 +1,1 @@
+//! Boxes that speak MySQL.
--- /dev/null
+++ b/src/node/bulletin.rs
@@ -0,0 +1,212 @@
+//! The bulletin: numbered events that tell which warehouses there are. Reads its frames, and keeps its
+//! connection: a silent one is dropped, and the next goes on from the last number had.
+
+use super::clock::to_micros;
+use super::deadlines::{Deadlines, Wake};
+use super::reactor::{Link, Owner, ReadEnd};
+use crate::{EngineId, ListKind, Member, MemberState};
+use mio::Registry;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+const SILENT_MS: f64 = 3000.0; // an empty frame comes each second; three missed are a dead connection
+const AGAIN_MS: f64 = 200.0; // between two tries to connect: news is owed within seconds
+const LOOK_MS: f64 = 500.0; // between looks at a connection that stands
+const RECORD: usize = 27;
+const FRAME_MOST: usize = 4 << 20; // 150,000 warehouses; a longer frame is a lost framing
+
+/// A warehouse as listed, with its address.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// What the decision module is told.
+    pub member: Member,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// One event of the bulletin.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// Its number.
+    pub number: u64,
+    /// How its list is to be read.
+    pub kind: ListKind,
+    /// The entries.
+    pub listings: Vec<Listing>,
+}
+
+/// A frame that can't be read: the connection is of no more use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadFrame;
+
+/// Reads one frame from the front of `bytes`: how long it was, and what it told.
+pub fn frame(
+    bytes: &[u8],
+    zones: &[String],
+    kinds: &[String],
+) -> Result<Option<(usize, Option<News>)>, BadFrame> {
+    let Some(length) = bytes.first_chunk::<4>().map(|l| u32::from_be_bytes(*l) as usize) else {
+        return Ok(None);
+    };
+    if !(9..=FRAME_MOST).contains(&length) {
+        return Err(BadFrame);
+    }
+    let Some(body) = bytes.get(4..4 + length) else { return Ok(None) };
+    let number = unsigned(&body[..8]);
+    let kind = match body[8] {
+        0 => return Ok(Some((4 + length, None))),
+        1 => ListKind::Full,
+        2 => ListKind::Changes,
+        _ => return Err(BadFrame),
+    };
+    let records = &body[9..];
+    if records.len() % RECORD != 0 {
+        return Err(BadFrame);
+    }
+    let listings =
+        records.chunks_exact(RECORD).map(|r| record(r, zones, kinds)).collect::<Result<Vec<_>, _>>()?;
+    Ok(Some((4 + length, Some(News { number, kind, listings }))))
+}
+
+fn unsigned(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
+
+fn record(r: &[u8], zones: &[String], kinds: &[String]) -> Result<Listing, BadFrame> {
+    let name = |list: &[String], place: u8| list.get(usize::from(place)).cloned().unwrap_or_default();
+    let state = match r[10] {
+        0 => MemberState::Serving,
+        1 => MemberState::Draining,
+        2 => MemberState::Gone,
+        _ => return Err(BadFrame),
+    };
+    let started = unsigned(&r[19..27]);
+    let address = Ipv4Addr::from(unsigned(&r[4..8]) as u32);
+    Ok(Listing {
+        address: SocketAddr::from((address, unsigned(&r[8..10]) as u16)),
+        member: Member {
+            engine: EngineId(Arc::from(format!("s-{:08x}", unsigned(&r[..4])))),
+            zone: name(zones, r[11]),
+            kind: name(kinds, r[12]),
+            cell: unsigned(&r[13..15]),
+            size_hint: unsigned(&r[15..19]) as f64 / 1000.0,
+            started: (started > 0).then(|| to_micros(started as f64)),
+            state,
+        },
+    })
+}
+
+/// The connection to the bulletin.
+#[derive(Debug)]
+pub struct Bulletin {
+    address: SocketAddr,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    last: u64,
+    link: Option<Link>,
+    greeted: bool,
+    generation: u32,
+    heard: f64,
+}
+
+impl Bulletin {
+    /// A bulletin not yet connected to; `last` is the number of the last event had.
+    pub fn new(address: SocketAddr, zones: Vec<String>, kinds: Vec<String>, last: u64) -> Bulletin {
+        Bulletin { address, zones, kinds, last, link: None, greeted: false, generation: 0, heard: 0.0 }
+    }
+
+    /// Connects where there is no connection, drops one that has fallen silent, and comes back.
+    pub fn look(&mut self, now: f64, registry: &Registry, deadlines: &mut Deadlines) {
+        if self.link.is_some() && now - self.heard > SILENT_MS {
+            self.link = None;
+        }
+        if self.link.is_none() {
+            self.generation = self.generation.wrapping_add(1);
+            (self.greeted, self.heard) = (false, now);
+            self.link = Link::dial(self.address)
+                .and_then(|mut link| link.watch(registry, Owner::Bulletin(self.generation)).map(|()| link))
+                .ok();
+        }
+        deadlines.set(now + if self.greeted { LOOK_MS } else { AGAIN_MS }, Wake::Bulletin);
+    }
+
+    /// The socket has something to say: gives the events that came.
+    pub fn ready(&mut self, now: f64, generation: u32) -> Vec<News> {
+        let mut news = Vec::new();
+        if generation == self.generation && self.link.is_some() && self.step(now, &mut news).is_none() {
+            self.link = None; // The next look connects again.
+        }
+        news
+    }
+
+    /// `None` when the connection is of no more use.
+    fn step(&mut self, now: f64, news: &mut Vec<News>) -> Option<()> {
+        let link = self.link.as_mut()?;
+        if !self.greeted {
+            match link.connected() {
+                None => return Some(()),
+                Some(up) => up.ok()?,
+            }
+            link.put(&self.last.to_be_bytes());
+            (self.greeted, self.heard) = (true, now);
+        }
+        link.flush().ok()?;
+        let end = loop {
+            let end = link.read(FRAME_MOST + 16);
+            while let Some((used, event)) = frame(&link.input, &self.zones, &self.kinds).ok()? {
+                link.used(used);
+                self.heard = now;
+                if let Some(event) = event.filter(|event| event.number > self.last) {
+                    self.last = event.number;
+                    news.push(event);
+                }
+            }
+            if !link.has_more() {
+                break end;
+            }
+        };
+        end.ok().filter(|end| *end == ReadEnd::Open).map(|_| ())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn bytes(number: u64, kind: u8, records: &[u8]) -> Vec<u8> {
+        let mut out = (9 + records.len() as u32).to_be_bytes().to_vec();
+        out.extend(number.to_be_bytes());
+        out.push(kind);
+        out.extend(records);
+        out
+    }
+
+    #[test]
+    fn a_frame_is_read_whole_or_not_at_all() {
+        let mut r = vec![0, 0xc4, 0x1f, 0x7a, 10, 1, 0, 9, 0x27, 0x60, 1, 1, 0, 0, 2];
+        r.extend(4000u32.to_be_bytes());
+        r.extend(77u64.to_be_bytes());
+        let whole = bytes(5, 2, &r);
+        let names = |list: &[&str]| list.iter().map(|n| n.to_string()).collect::<Vec<_>>();
+        let (zones, kinds) = (names(&["a", "b"]), names(&["std"]));
+        for cut in 0..whole.len() {
+            assert_eq!(frame(&whole[..cut], &zones, &kinds), Ok(None));
+        }
+        let (used, news) = frame(&whole, &zones, &kinds).unwrap().unwrap();
+        let news = news.unwrap();
+        let listing = &news.listings[0];
+        assert_eq!((used, news.number, news.kind), (whole.len(), 5, ListKind::Changes));
+        assert_eq!(listing.address, "10.1.0.9:10080".parse().unwrap());
+        let m = &listing.member;
+        assert_eq!((&*m.engine.0, &*m.zone, &*m.kind, m.cell), ("s-00c41f7a", "b", "std", 2));
+        assert_eq!((m.size_hint, m.state, m.started), (4.0, MemberState::Draining, Some(to_micros(77.0))));
+    }
+
+    #[test]
+    fn frames_that_cannot_be_are_told_from_frames_that_are_not_whole() {
+        assert_eq!(frame(&bytes(1, 0, &[]), &[], &[]), Ok(Some((13, None))));
+        for bad in [bytes(1, 3, &[]), bytes(1, 1, &[0; 26]), vec![0xff; 8], vec![0, 0, 0, 1, 0]] {
+            assert_eq!(frame(&bad, &[], &[]), Err(BadFrame));
+        }
+    }
+}
--- /dev/null
+++ b/src/node/deadlines.rs
@@ -0,0 +1,99 @@
+//! The one ordered structure that all deadlines hang in.
+
+use super::slots::Key;
+use crate::{Attempt, TimerId};
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+/// What falls due.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wake {
+    /// A timer of the decision module.
+    Module(TimerId),
+    /// The client of a request has stopped waiting.
+    RequestOver(Key),
+    /// An attempt has had its time.
+    AttemptOver(Key, Attempt),
+    /// A backend connection: is it up, does it still answer, is it idle?
+    Backend(Key),
+    /// A connection to a box of the MySQL kind: likewise.
+    MysqlBox(Key),
+    /// The bulletin: connect, or see whether it has fallen silent.
+    Bulletin,
+    /// A client connection of the MySQL front that has not logged in.
+    MysqlLogin(Key),
+    /// A connection of a balancer's check or of an xDS client.
+    Control(Key),
+    /// Accepting was paused for want of descriptors.
+    AcceptAgain,
+    /// A planned end may be near.
+    Ending,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Due(f64, u64);
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Due) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Due) -> Ordering {
+        self.0.total_cmp(&other.0).then(self.1.cmp(&other.1))
+    }
+}
+
+/// Names a deadline, to take it back.
+#[derive(Clone, Copy, Debug)]
+pub struct Handle(Due);
+
+/// Deadlines in order; those of one time in the order in which they were set.
+#[derive(Debug, Default)]
+pub struct Deadlines {
+    due: BTreeMap<Due, Wake>,
+    next: u64,
+}
+
+impl Deadlines {
+    /// Sets a deadline.
+    pub fn set(&mut self, at: f64, wake: Wake) -> Handle {
+        self.next += 1;
+        let due = Due(at, self.next);
+        self.due.insert(due, wake);
+        Handle(due)
+    }
+    /// Takes one back; nothing happens if it is past.
+    pub fn clear(&mut self, handle: Handle) {
+        self.due.remove(&handle.0);
+    }
+    /// When the first one falls due.
+    pub fn first(&self) -> Option<f64> {
+        self.due.first_key_value().map(|(due, _)| due.0)
+    }
+    /// Takes the first one out if it is due.
+    pub fn pop(&mut self, now: f64) -> Option<Wake> {
+        let first = self.due.first_entry().filter(|first| first.key().0 <= now)?;
+        Some(first.remove())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn deadlines_come_in_order_and_can_be_taken_back() {
+        let mut deadlines = Deadlines::default();
+        deadlines.set(20.0, Wake::Ending);
+        let gone = deadlines.set(5.0, Wake::AcceptAgain);
+        deadlines.set(10.0, Wake::Bulletin);
+        deadlines.clear(gone);
+        assert_eq!((deadlines.first(), deadlines.pop(9.9)), (Some(10.0), None));
+        assert_eq!(deadlines.pop(30.0), Some(Wake::Bulletin));
+        assert_eq!((deadlines.pop(30.0), deadlines.pop(30.0)), (Some(Wake::Ending), None));
+    }
+}
--- /dev/null
+++ b/src/node/front/mysql.rs
@@ -0,0 +1,1 @@
+//! The MySQL front.
--- /dev/null
+++ b/src/node/slots.rs
@@ -0,0 +1,87 @@
+//! Tables of numbered slots. A slot that is used again has a new generation, so an old number finds nothing.
+
+/// Names a slot and its generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    /// The slot's number.
+    pub slot: u32,
+    /// How often it was used before.
+    pub generation: u32,
+}
+
+/// A table of numbered slots.
+#[derive(Debug)]
+pub struct Slots<T> {
+    slots: Vec<(u32, Option<T>)>,
+    free: Vec<u32>,
+}
+
+impl<T> Default for Slots<T> {
+    fn default() -> Slots<T> {
+        Slots { slots: Vec::new(), free: Vec::new() }
+    }
+}
+
+impl<T> Slots<T> {
+    /// Puts an item into a free slot.
+    pub fn insert(&mut self, item: T) -> Key {
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.slots.push((0, None));
+            self.slots.len() as u32 - 1
+        });
+        let place = &mut self.slots[slot as usize];
+        place.1 = Some(item);
+        Key { slot, generation: place.0 }
+    }
+    /// The item under a key, while it is there.
+    pub fn get(&self, key: Key) -> Option<&T> {
+        let place = self.slots.get(key.slot as usize)?;
+        place.1.as_ref().filter(|_| place.0 == key.generation)
+    }
+    /// The same, to change it.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut T> {
+        let place = self.slots.get_mut(key.slot as usize)?;
+        place.1.as_mut().filter(|_| place.0 == key.generation)
+    }
+    /// Takes an item out; its key never finds anything again.
+    pub fn remove(&mut self, key: Key) -> Option<T> {
+        let place = self.slots.get_mut(key.slot as usize).filter(|place| place.0 == key.generation)?;
+        let item = place.1.take()?;
+        place.0 = place.0.wrapping_add(1) & 0x00ff_ffff; // Tokens carry 24 bits of it.
+        self.free.push(key.slot);
+        Some(item)
+    }
+    /// How many slots are in use.
+    pub fn len(&self) -> usize {
+        self.slots.len() - self.free.len()
+    }
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+    /// All items, by slot.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &T)> {
+        self.slots.iter().enumerate().filter_map(|(slot, (generation, item))| {
+            Some((Key { slot: slot as u32, generation: *generation }, item.as_ref()?))
+        })
+    }
+    /// The keys in use, by slot.
+    pub fn keys(&self) -> Vec<Key> {
+        self.iter().map(|(key, _)| key).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_old_key_finds_nothing_in_a_slot_used_again() {
+        let mut slots = Slots::default();
+        let old = slots.insert("a");
+        assert_eq!(slots.remove(old), Some("a"));
+        let new = slots.insert("b");
+        assert_eq!((old.slot, slots.get(old), slots.remove(old)), (new.slot, None, None));
+        assert_eq!((slots.get(new), slots.len()), (Some(&"b"), 1));
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Short ways to build what the tests feed a gateway.
 #![allow(dead_code)]
 
-use cobaltdyke::*;
+use beamgap::*;
 use std::sync::Arc;
 
 pub fn ms(ms: u64) -> Micros {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cobaltdyke::*;
+use beamgap::*;
 use common::{cancelled, engine, failed, list, member, ms, refused, request, sent, settings, Bench};
 
 fn fleet(n: usize) -> Vec<Member> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cobaltdyke::*;
+use beamgap::*;
 use common::{ms, request, sent, Bench};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use cobaltdyke::*;
+use beamgap::*;
 use common::{engine, list, member, ms, refused, request, sent, settings, Bench};
 use std::collections::{BTreeMap, BTreeSet};
 
