--- a/src/main.rs
+++ b/src/main.rs
@@ -22,8 +22,7 @@
 fn run() -> Result<(), String> {
     let path = std::env::var("NODE_CONFIG").map_err(|_| "config: NODE_CONFIG is not set".to_owned())?;
     let text = std::fs::read(&path).map_err(|e| format!("config: NODE_CONFIG {path}: {e}"))?;
-    let listen = std::env::var("NODE_LISTEN").ok();
-    let config = Config::read(text, listen.as_deref()).map_err(|e| e.to_string())?;
+    let config = Config::read(text, &|name| std::env::var(name).ok()).map_err(|e| e.to_string())?;
     let name = config.name.clone();
     let mut node = Node::new(config, Clock::system()).map_err(|e| format!("start: {e}"))?;
     let (mut ended, signal) = mio::net::UnixStream::pair().map_err(|e| format!("signals: {e}"))?;
--- a/src/node/backend/mod.rs
+++ b/src/node/backend/mod.rs
@@ -1,6 +1,7 @@
 //! Engines as the node reaches them: the platform's warehouses, and boxes that speak MySQL.
 
 pub mod mysql;
+mod roster;
 pub mod warehouse;
 
 use super::deadlines::Deadlines;
--- /dev/null
+++ b/src/node/backend/roster.rs
@@ -0,0 +1,75 @@
+//! Which engines there are and where, with the connections to each: shared by all backends.
+
+use crate::node::bulletin::Listing;
+use crate::node::slots::Key;
+use crate::{EngineId, ListKind, MemberState};
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+
+/// An engine as a backend knows it.
+#[derive(Debug)]
+pub struct Engine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it takes work.
+    pub state: MemberState,
+    /// The connections to it.
+    pub links: Vec<Key>,
+}
+
+/// The engines by id. An address may pass from one id to another; nothing is keyed by it.
+#[derive(Debug, Default)]
+pub struct Roster(BTreeMap<EngineId, Engine>);
+
+impl Roster {
+    /// Takes news in; gives the connections that lead to nobody any more.
+    pub fn apply(&mut self, kind: ListKind, listings: &[Listing]) -> Vec<Key> {
+        if kind != ListKind::Changes {
+            let named: HashSet<&EngineId> = listings.iter().map(|l| &l.member.engine).collect();
+            let gone = self.0.iter_mut().filter(|(id, _)| !named.contains(id));
+            gone.for_each(|(_, engine)| engine.state = MemberState::Gone);
+        }
+        let mut stale = Vec::new();
+        for listing in listings {
+            let (address, state) = (listing.address, listing.member.state);
+            let id = &listing.member.engine;
+            let new = || Engine { address, state, links: Vec::new() };
+            let engine = self.0.entry(id.clone()).or_insert_with(new);
+            if engine.address != address {
+                stale.extend(&engine.links);
+            }
+            (engine.address, engine.state) = (address, state);
+            if state != MemberState::Gone {
+                // Guards against an address that has passed to another id: whoever held it before is dead.
+                let before = self.0.iter().filter(|(other, e)| *other != id && e.address == address);
+                stale.extend(
+                    before.filter(|(_, e)| e.state != MemberState::Serving).flat_map(|(_, e)| &e.links),
+                );
+            }
+        }
+        self.0.retain(|_, e| e.state != MemberState::Gone || !e.links.is_empty());
+        stale
+    }
+
+    /// An engine that may be sent new work.
+    pub fn serving(&self, id: &EngineId) -> Option<&Engine> {
+        self.0.get(id).filter(|engine| engine.state == MemberState::Serving)
+    }
+
+    /// An engine, whatever its state.
+    pub fn get_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
+        self.0.get_mut(id)
+    }
+
+    /// The connections to an engine.
+    pub fn links(&self, id: &EngineId) -> &[Key] {
+        self.0.get(id).map_or(&[], |engine| &engine.links)
+    }
+
+    /// A connection to an engine is no more.
+    pub fn unlink(&mut self, id: &EngineId, key: Key) {
+        if let Some(engine) = self.0.get_mut(id) {
+            engine.links.retain(|link| *link != key);
+        }
+    }
+}
--- a/src/node/backend/warehouse.rs
+++ b/src/node/backend/warehouse.rs
@@ -1,14 +1,14 @@
 //! Warehouses: their connections, the lines spoken on them, and what each end proves.
 
+use super::roster::Roster;
 use super::Cx;
 use crate::node::bulletin::Listing;
 use crate::node::deadlines::Wake;
 use crate::node::exchange::{Answer, AttemptRef, Ended, Heard, Start};
 use crate::node::reactor::{Link, Owner, ReadEnd};
 use crate::node::slots::{Key, Slots};
-use crate::{settings, EngineId, ListKind, LoadReport, MemberState, Micros, Note, Outcome, TrueCost};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
+use crate::{settings, EngineId, ListKind, LoadReport, Micros, Note, Outcome, TrueCost};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 const LOOK_MS: f64 = 500.0; // between looks at a connection: as often as notes come
@@ -23,13 +23,6 @@
 const SPENT_MOST: usize = 512; // names given up on one connection; beyond, it is left to run dry
 const LINKS_MOST: usize = 8; // connections to one warehouse
 
-#[derive(Debug)]
-struct Engine {
-    address: SocketAddr,
-    state: MemberState,
-    links: Vec<Key>,
-}
-
 #[derive(Debug)]
 struct Attempt {
     at: AttemptRef,
@@ -76,7 +69,7 @@
     idle_ms: f64,
     streams: usize,
     sockets: usize,
-    engines: BTreeMap<EngineId, Engine>,
+    roster: Roster,
     conns: Slots<Conn>,
     placed: HashMap<AttemptRef, (Key, Arc<str>)>,
 }
@@ -167,7 +160,7 @@
             idle_ms: idle_ms * IDLE_PART,
             streams,
             sockets,
-            engines: BTreeMap::new(),
+            roster: Roster::default(),
             conns: Slots::default(),
             placed: HashMap::new(),
         }
@@ -175,39 +168,18 @@
 
     /// News of the list. What waits behind a dial to a warehouse that takes no new work is taken back.
     pub fn members(&mut self, kind: ListKind, listings: &[Listing], cx: &mut Cx) {
-        if kind != ListKind::Changes {
-            let named: HashSet<&EngineId> = listings.iter().map(|l| &l.member.engine).collect();
-            let gone = self.engines.iter_mut().filter(|(id, _)| !named.contains(id));
-            gone.for_each(|(_, engine)| engine.state = MemberState::Gone);
-        }
-        for listing in listings {
-            let (address, state) = (listing.address, listing.member.state);
-            let id = &listing.member.engine;
-            let new = || Engine { address, state, links: Vec::new() };
-            let engine = self.engines.entry(id.clone()).or_insert_with(new);
-            let moved = engine.address != address;
-            (engine.address, engine.state) = (address, state);
-            let mut stale = if moved { engine.links.clone() } else { Vec::new() };
-            if state != MemberState::Gone {
-                // Guards against an address that has passed to another id: whoever held it before is dead.
-                let before = self.engines.iter().filter(|(other, e)| *other != id && e.address == address);
-                stale.extend(
-                    before.filter(|(_, e)| e.state != MemberState::Serving).flat_map(|(_, e)| &e.links),
-                );
-            }
-            stale.into_iter().for_each(|key| self.lose(key, Outcome::Reset, cx));
+        for key in self.roster.apply(kind, listings) {
+            self.lose(key, Outcome::Reset, cx);
         }
         for key in self.conns.keys() {
             let Some(conn) = self.conns.get(key) else { continue };
-            let state = self.engines.get(&conn.engine).map_or(MemberState::Gone, |e| e.state);
-            if state != MemberState::Serving {
+            if self.roster.serving(&conn.engine).is_none() {
                 self.take_back(key, cx);
                 if self.conns.get(key).is_some_and(|conn| conn.open.is_empty()) {
                     self.lose(key, Outcome::Reset, cx);
                 }
             }
         }
-        self.engines.retain(|_, e| e.state != MemberState::Gone || !e.links.is_empty());
     }
 
     /// Ends what waits unwritten on a connection: turned away unseen.
@@ -222,15 +194,13 @@
     /// Begins an attempt.
     pub fn start(&mut self, start: Start, cx: &mut Cx) {
         let at = start.attempt;
-        let outcome = match self.engines.get(&start.engine) {
-            Some(engine) if engine.state == MemberState::Serving => {
-                match self.choose(&start.engine, &start.name, cx) {
-                    Some(key) => return self.queue(key, start, cx),
-                    None => Outcome::ConnectFailed,
-                }
-            }
+        let outcome = match self.roster.serving(&start.engine) {
+            Some(_) => match self.choose(&start.engine, &start.name, cx) {
+                Some(key) => return self.queue(key, start, cx),
+                None => Outcome::ConnectFailed,
+            },
             // The list changed between the decision and now.
-            _ => Outcome::Full,
+            None => Outcome::Full,
         };
         cx.heard.push(Heard::Ended(Ended::bare(at, outcome)));
     }
@@ -252,14 +222,14 @@
 
     /// A connection with room that never carried this name before, or a new one.
     fn choose(&mut self, id: &EngineId, name: &Arc<str>, cx: &mut Cx) -> Option<Key> {
-        let engine = self.engines.get(id)?;
         let fits = |conn: &Conn| {
             let suspect = conn.asked.is_some_and(|at| cx.now - at > SUSPECT_MS);
             // A late line of an attempt given up must not pass for the answer of the next.
             let clean = !conn.spent.contains(name) && !conn.open.contains_key(name);
             !suspect && clean && conn.load() < self.streams && conn.spent.len() < SPENT_MOST
         };
-        let fitting = engine.links.iter().copied().filter(|key| self.conns.get(*key).is_some_and(fits));
+        let fitting =
+            self.roster.links(id).iter().copied().filter(|key| self.conns.get(*key).is_some_and(fits));
         let least = fitting.min_by_key(|key| self.conns.get(*key).map_or(0, Conn::load));
         least.or_else(|| self.dial(id, cx))
     }
@@ -269,7 +239,7 @@
             let idle = self.conns.iter().find(|(_, conn)| conn.load() == 0).map(|(key, _)| key)?;
             self.lose(idle, Outcome::Reset, cx);
         }
-        let engine = self.engines.get_mut(id)?;
+        let engine = self.roster.get_mut(id)?;
         if engine.links.len() >= LINKS_MOST {
             return None;
         }
@@ -323,8 +293,7 @@
 
     /// Closes a warehouse's idle connections.
     pub fn close_idle(&mut self, id: &EngineId, cx: &mut Cx) {
-        let links = self.engines.get(id).map(|engine| engine.links.clone()).unwrap_or_default();
-        for key in links {
+        for key in self.roster.links(id).to_vec() {
             if self.conns.get(key).is_some_and(|conn| conn.load() == 0) {
                 self.lose(key, Outcome::Reset, cx);
             }
@@ -472,9 +441,7 @@
     /// Drops a connection. What was sent on it ends as `outcome` says; what was not never ran.
     fn lose(&mut self, key: Key, outcome: Outcome, cx: &mut Cx) {
         let Some(conn) = self.conns.remove(key) else { return };
-        if let Some(engine) = self.engines.get_mut(&conn.engine) {
-            engine.links.retain(|link| *link != key);
-        }
+        self.roster.unlink(&conn.engine, key);
         let unsent = conn.wants.into_iter().map(|want| (want.at, Outcome::ConnectFailed));
         for (at, outcome) in conn.open.into_values().map(|a| (a.at, outcome)).chain(unsent) {
             self.placed.remove(&at);
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -3,7 +3,7 @@
 use super::bulletin::{Listing, News};
 use super::json::{self, *};
 use crate::settings::settings as read_settings;
-use crate::{EngineId, ListKind, Member, MemberState, Micros, Settings};
+use crate::{ClassId, EngineId, ListKind, Member, MemberState, Micros, Repeat, Settings};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -14,6 +14,7 @@
 const DIAL_MS: f64 = 250.0; // where no time-out for connecting is told
 const IDLE_MS: f64 = 15_000.0; // where it is not told when idle connections are closed
 const STREAMS: f64 = 100.0; // attempts on one connection, where not told
+const BOX_CONNECTIONS: usize = 48; // to one MySQL box, where not told: six sessions on each of eight cores
 const OPEN_MOST: f64 = 30_000.0; // open requests, where not told
 const BACKOFF_MOST: Micros = Micros::from_millis(1000); // longest advice to a refused client, where not told
 
@@ -41,7 +42,7 @@
 }
 
 /// Everything that the node is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Config {
     /// The node's name, for its log.
     pub name: String,
@@ -69,11 +70,61 @@
     pub streams: usize,
     /// Open requests at most.
     pub open_most: usize,
+    /// The MySQL front and its boxes; none if it is off.
+    pub mysql: Option<MysqlSettings>,
+}
+
+/// A client's account on the MySQL front.
+#[derive(Clone, PartialEq)]
+pub struct Account {
+    /// Its name.
+    pub user: String,
+    /// Its password; may be empty.
+    pub password: String,
+    /// The tenant that its requests belong to.
+    pub tenant: Option<Arc<str>>,
+}
+
+/// Gives a class to the statements that it fits; the first fitting rule counts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rule {
+    /// The statement's first word, in capitals.
+    pub verb: Option<String>,
+    /// A text that it holds, in small letters.
+    pub mentions: Option<String>,
+    /// The class.
+    pub class: ClassId,
+    /// How long the client is taken to wait, in milliseconds; the class's own time if absent.
+    pub budget_ms: Option<f64>,
+    /// Estimated work in milliseconds.
+    pub work_ms: Option<f64>,
+    /// Estimated memory in megabytes.
+    pub memory_mb: Option<f64>,
+}
+
+/// What the operator's file says of the MySQL front and its boxes.
+#[derive(Clone, PartialEq)]
+pub struct MysqlSettings {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Who may log in.
+    pub accounts: Vec<Account>,
+    /// The class of statements that no rule fits; it must never be run twice.
+    pub default_class: ClassId,
+    /// The rules, in order.
+    pub rules: Vec<Rule>,
+    /// The user as whom the node logs in at the boxes.
+    pub box_user: String,
+    /// Its password.
+    pub box_password: String,
+    /// Connections to one box.
+    pub box_connections: usize,
 }
 
 impl Config {
-    /// Reads the text of a configuration file. `listen` stands in where the file names no address.
-    pub fn read(text: Vec<u8>, listen: Option<&str>) -> Read<Config> {
+    /// Reads the text of a configuration file. `env` gives the environment's variables: `NODE_LISTEN` stands in
+    /// where the file names no address, and passwords stand only there.
+    pub fn read(text: Vec<u8>, env: &dyn Fn(&str) -> Option<String>) -> Read<Config> {
         let root = json::read(text).or_else(|e| wrong("(file)", e))?;
         if root.as_object().is_none() {
             return wrong("(file)", "is not an object");
@@ -89,7 +140,16 @@
         settings.retry_after = Some(settings.retry_after.unwrap_or(most));
         let zones = names(&pairs, "Azs");
         let kinds = names(&pairs, "MachineTypes");
-        let listen = match text_of(&root, "listen")?.or(listen) {
+        let mysql = match root.get("mysql") {
+            Some(mysql) => Some(read_mysql(mysql, &settings, env)?),
+            None => None,
+        };
+        // The platform's front is off only where an operator's file has the other one and no address for this.
+        let stand_in = env("NODE_LISTEN").filter(|_| mysql.is_none());
+        if root.get("listen").is_none() && stand_in.is_none() && mysql.is_none() {
+            return wrong("listen", "is missing");
+        }
+        let listen = match text_of(&root, "listen")?.or(stand_in.as_deref()) {
             Some(text) => Some(address(text, "listen")?),
             None => None,
         };
@@ -119,6 +179,7 @@
             idle_ms: figure(&pairs, "Limits.ConnIdle", IDLE_MS)?,
             streams: figure(&pairs, "Limits.StreamsPerConn", STREAMS)?.max(1.0) as usize,
             open_most: figure(&pairs, "Limits.MaxOpen", OPEN_MOST)?.max(1.0) as usize,
+            mysql,
         };
         if config.sockets < 32 {
             return wrong("limits.sockets", "is under 32, too few to serve with");
@@ -195,6 +256,86 @@
     text.parse().or_else(|_| wrong(key, format!("is '{text}', not an address with a port")))
 }
 
+fn read_mysql(
+    mysql: &OwnedValue,
+    settings: &Settings,
+    env: &dyn Fn(&str) -> Option<String>,
+) -> Read<MysqlSettings> {
+    let inside = |e: ConfigError| ConfigError { key: format!("mysql.{}", e.key), ..e };
+    let text = |key: &str| text_of(mysql, key).map_err(inside);
+    let needed = |key: &str| match text(key)? {
+        Some(text) => Ok(text.to_owned()),
+        None => wrong(&format!("mysql.{key}"), "is missing"),
+    };
+    let class = |name: &str, path: &str| match settings.classes.iter().position(|c| c.name == name) {
+        Some(place) => Ok(ClassId(place)),
+        None => wrong(path, format!("is '{name}', not a class of the settings")),
+    };
+    let password = |holder: &OwnedValue, key: &str, path: &str| match text_of(holder, key)? {
+        None => Ok(String::new()),
+        Some(name) => match env(name) {
+            Some(password) => Ok(password),
+            None => wrong(path, format!("names {name}, which is not set in the environment")),
+        },
+    };
+    let list = |key: &str| match mysql.get(key) {
+        None => Ok(&[][..]),
+        Some(value) => match value.as_array() {
+            Some(list) => Ok(list.as_slice()),
+            None => wrong(&format!("mysql.{key}"), "is not a list"),
+        },
+    };
+    let default_class = class(&needed("default_class")?, "mysql.default_class")?;
+    if settings.classes[default_class.0].repeat != Repeat::Unsafe {
+        return wrong("mysql.default_class", "may be run twice; what no rule knows must not be");
+    }
+    let mut accounts = Vec::new();
+    for (i, account) in list("accounts")?.iter().enumerate() {
+        let at = |key: &str| format!("mysql.accounts[{i}].{key}");
+        let Some(user) = text_of(account, "user")? else { return wrong(&at("user"), "is missing") };
+        let password = password(account, "password_env", &at("password_env"))?;
+        let tenant = text_of(account, "tenant")?.map(Arc::from);
+        if tenant.as_ref().is_some_and(|t| !settings.tenants.iter().any(|known| *known.name == **t)) {
+            return wrong(&at("tenant"), "is not a tenant of the settings");
+        }
+        accounts.push(Account { user: user.to_owned(), password, tenant });
+    }
+    let mut rules = Vec::new();
+    for (i, rule) in list("rules")?.iter().enumerate() {
+        let at = |key: &str| format!("mysql.rules[{i}].{key}");
+        let Some(name) = text_of(rule, "class")? else { return wrong(&at("class"), "is missing") };
+        let number = |key: &str| match rule.get(key) {
+            None => Ok(None),
+            Some(value) => match json::number(value).filter(|v| *v > 0.0) {
+                Some(value) => Ok(Some(value)),
+                None => wrong(&at(key), "is not a number above 0"),
+            },
+        };
+        rules.push(Rule {
+            verb: text_of(rule, "verb")?.map(str::to_uppercase),
+            mentions: text_of(rule, "mentions")?.map(str::to_lowercase),
+            class: class(name, &at("class"))?,
+            budget_ms: number("budget_ms")?,
+            work_ms: number("work_ms")?,
+            memory_mb: number("memory_mb")?,
+        });
+    }
+    let box_connections = match mysql.get("box_connections").map(json::number) {
+        None => BOX_CONNECTIONS,
+        Some(Some(most)) if most >= 1.0 => most as usize,
+        Some(_) => return wrong("mysql.box_connections", "is not a number from 1"),
+    };
+    Ok(MysqlSettings {
+        listen: address(&needed("listen")?, "mysql.listen")?,
+        accounts,
+        default_class,
+        rules,
+        box_user: needed("box_user")?,
+        box_password: password(mysql, "box_password_env", "mysql.box_password_env")?,
+        box_connections,
+    })
+}
+
 /// Reads `known`: the bulletin's events so far, in JSON.
 fn read_known(known: &OwnedValue) -> Read<Vec<News>> {
     let Some(items) = known.get("items").and_then(|items| items.as_array()) else {
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -46,10 +46,12 @@
     pub count: usize,
     /// Their types, as the client gave them.
     pub types: Vec<u8>,
-    /// The null bits and the values, as the client gave them.
+    /// The null bits, as the client gave them.
     pub nulls: Vec<u8>,
     /// The values.
     pub values: Vec<u8>,
+    /// Long values that came ahead, by their parameter.
+    pub long: Vec<(u16, Vec<u8>)>,
 }
 
 /// What is to be run. The core passes it on unread.
@@ -66,7 +68,10 @@
 impl Payload {
     /// The bytes that it holds.
     pub fn size(&self) -> usize {
-        let bound = self.bound.as_ref().map_or(0, |b| b.types.len() + b.nulls.len() + b.values.len());
+        let bound = self.bound.as_ref().map_or(0, |b| {
+            let long: usize = b.long.iter().map(|(_, value)| value.len()).sum();
+            b.types.len() + b.nulls.len() + b.values.len() + long
+        });
         self.statement.len() + bound
     }
 }
@@ -128,6 +133,8 @@
 pub struct Start {
     /// Which attempt.
     pub attempt: AttemptRef,
+    /// Which front the request came by: the engines of its kind are to run it.
+    pub front: Front,
     /// The request's name.
     pub name: Arc<str>,
     /// Its class.
@@ -506,6 +513,7 @@
         open.out = Some(Out { attempt, engine: engine.clone(), since: now, due });
         self.orders.push(Order::Start(Start {
             attempt: AttemptRef { request: key, attempt },
+            front: open.ask.asker.front,
             name: open.ask.name.clone(),
             class: open.ask.class,
             engine,
--- a/src/node/front/jsonrpc.rs
+++ b/src/node/front/jsonrpc.rs
@@ -3,7 +3,7 @@
 use crate::node::backend::Cx;
 use crate::node::exchange::{Answer, Ask, Asker, Front, Heard, Payload};
 use crate::node::json::{self, *};
-use crate::node::reactor::{Link, Owner, ReadEnd};
+use crate::node::reactor::{heaviest, Link, Owner, ReadEnd};
 use crate::node::slots::{Key, Slots};
 use crate::node::tables;
 use crate::{ClassId, Settings};
@@ -316,13 +316,10 @@
 
     /// Guards the memory limit against many clients that take nothing: the one owed most is let go.
     fn bound_total(&mut self, cx: &mut Cx) {
-        let waiting = |(key, client): (Key, &Client)| (client.link.waiting(), key);
-        let total: usize = self.clients.iter().map(|c| waiting(c).0).sum();
-        if total > self.out_total_most {
-            if let Some((_, key)) = self.clients.iter().map(waiting).max() {
-                cx.log.push(format!("slow client: closed, bytes={total}"));
-                self.close(key, cx);
-            }
+        let (total, most) = heaviest(self.clients.iter().map(|(key, c)| (c.link.waiting(), key)));
+        if let Some(key) = most.filter(|_| total > self.out_total_most) {
+            cx.log.push(format!("slow client: closed, bytes={total}"));
+            self.close(key, cx);
         }
     }
 
--- a/src/node/front/mysql.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The MySQL front.
--- /dev/null
+++ b/src/node/front/mysql/mod.rs
@@ -0,0 +1,574 @@
+//! The MySQL front: sessions of clients that speak the MySQL wire, with prepared statements.
+//!
+//! A prepared statement belongs to the session. The front keeps its text and the types of its parameters, and each
+//! execution carries them to whichever box it goes to. What would leave state in a box's session is refused.
+
+mod statement;
+
+use crate::node::backend::Cx;
+use crate::node::config::MysqlSettings;
+use crate::node::deadlines::Wake;
+use crate::node::exchange::{Answer, Ask, Asker, Bound, Front, Heard, Payload};
+use crate::node::packets::{self, error, PACKET_MOST};
+use crate::node::reactor::{heaviest, Link, Owner, ReadEnd};
+use crate::node::slots::{Key, Slots};
+use crate::node::tables;
+use crate::Repeat;
+use crate::Settings;
+use mio::net::TcpStream;
+use mysql_common::constants::{CapabilityFlags, Command, StatusFlags};
+use mysql_common::io::ParseBuf;
+use mysql_common::packets::{HandshakePacket, HandshakeResponse};
+use mysql_common::proto::MySerialize;
+use mysql_common::scramble::scramble_native;
+use std::collections::hash_map::RandomState;
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{BuildHasher, Hasher};
+use std::rc::Rc;
+use std::sync::Arc;
+
+const LOGIN_MS: f64 = 10_000.0; // from connecting to the end of the login, as MySQL's connect_timeout
+const STATEMENTS_MOST: usize = 256; // prepared at one time in one session
+const SESSION_MOST: usize = 2 << 20; // bytes of their texts and long values
+const PARAMETERS_MOST: usize = 65_535; // the wire counts them in 16 bits
+const OUT_HIGH: usize = 256 * 1024; // unwritten bytes past which no further command is taken
+const PLUGIN: &[u8] = b"mysql_native_password";
+const COLLATION: u8 = 45; // utf8mb4_general_ci
+
+const QUIT: u8 = Command::COM_QUIT as u8;
+const PING: u8 = Command::COM_PING as u8;
+const INIT_DB: u8 = Command::COM_INIT_DB as u8;
+const RESET_CONNECTION: u8 = Command::COM_RESET_CONNECTION as u8;
+const QUERY: u8 = Command::COM_QUERY as u8;
+const STMT_PREPARE: u8 = Command::COM_STMT_PREPARE as u8;
+const STMT_EXECUTE: u8 = Command::COM_STMT_EXECUTE as u8;
+const STMT_SEND_LONG_DATA: u8 = Command::COM_STMT_SEND_LONG_DATA as u8;
+const STMT_CLOSE: u8 = Command::COM_STMT_CLOSE as u8;
+const STMT_RESET: u8 = Command::COM_STMT_RESET as u8;
+const STMT_FETCH: u8 = Command::COM_STMT_FETCH as u8;
+const CHANGE_USER: u8 = Command::COM_CHANGE_USER as u8;
+const SET_OPTION: u8 = Command::COM_SET_OPTION as u8;
+const PROCESS_KILL: u8 = Command::COM_PROCESS_KILL as u8;
+const FIELD_LIST: u8 = Command::COM_FIELD_LIST as u8;
+
+const MALFORMED: (u16, &str, &str) = (1835, "HY000", "Malformed communication packet");
+const UNKNOWN_STATEMENT: (u16, &str, &str) = (1243, "HY000", "Unknown prepared statement handler");
+const UNKNOWN_COMMAND: (u16, &str, &str) = (1047, "08S01", "Unknown command");
+const WRONG_ARGUMENTS: (u16, &str, &str) = (1210, "HY000", "Incorrect arguments to EXECUTE");
+const TOO_MANY: (u16, &str, &str) = (1461, "42000", "Too many prepared statements in this session");
+const TOO_LONG: (u16, &str, &str) = (1153, "08S01", "Got a packet bigger than is taken");
+const DENIED: (u16, &str, &str) = (1045, "28000", "Access denied");
+const REFUSED: (u16, &str) = (1040, "08004");
+const UNSUPPORTED: (u16, &str) = (1235, "42000");
+const FAILED: (u16, &str, &str) = (1105, "HY000", "failed; it may have run");
+const TIMED_OUT: (u16, &str, &str) = (3024, "HY000", "no answer in time; it may have run");
+
+#[derive(Debug)]
+struct Statement {
+    text: Vec<u8>,
+    parameters: usize,
+    types: Vec<u8>,
+    long: BTreeMap<u16, Vec<u8>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The greeting is sent.
+    Greeted,
+    /// The client was asked to answer in our way.
+    Switched,
+    /// Logged in.
+    Ready,
+    /// A request is out; its answer follows the packet of this number.
+    Busy(u8),
+}
+
+struct Session {
+    link: Link,
+    phase: Phase,
+    nonce: [u8; 20],
+    user: Vec<u8>,
+    tenant: Option<Arc<str>>,
+    schema: Option<String>,
+    statements: HashMap<u32, Statement>,
+    next_statement: u32,
+    requests: u64,
+}
+
+impl Session {
+    fn bytes(&self) -> usize {
+        let long = |s: &Statement| s.long.values().map(Vec::len).sum::<usize>();
+        self.statements.values().map(|s| s.text.len() + s.types.len() + long(s)).sum()
+    }
+    fn reply(&mut self, after: u8, body: &[u8]) {
+        let mut out = Vec::new();
+        packets::push(&mut out, after.wrapping_add(1), body);
+        self.link.put(&out);
+    }
+    fn wrong(&mut self, after: u8, (code, state, message): (u16, &str, &str)) {
+        self.reply(after, &error(code, state, message));
+    }
+}
+
+/// The clients of the MySQL front.
+pub struct MysqlFront {
+    settings: MysqlSettings,
+    classes: Vec<(Repeat, f64)>,
+    sessions: Slots<Session>,
+    connections: u32,
+    out_total_most: usize,
+}
+
+impl MysqlFront {
+    /// A front without clients. All unwritten answers together are bounded by `out_total_most` bytes.
+    pub fn new(settings: MysqlSettings, module: &Settings, out_total_most: usize) -> MysqlFront {
+        let classes = module.classes.iter().map(|c| (c.repeat, c.deadline.as_millis())).collect();
+        MysqlFront { settings, classes, sessions: Slots::default(), connections: 0, out_total_most }
+    }
+
+    /// Connected clients.
+    pub fn len(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.sessions.is_empty()
+    }
+
+    /// Whether all answers are written.
+    pub fn all_written(&self) -> bool {
+        self.sessions.iter().all(|(_, session)| session.link.waiting() == 0)
+    }
+
+    /// A client has connected: greets it.
+    pub fn accept(&mut self, stream: TcpStream, cx: &mut Cx) {
+        self.connections = self.connections.wrapping_add(1);
+        let nonce = nonce();
+        let mut link = Link::new(stream);
+        let (first, rest) = nonce.split_at(8);
+        let first: [u8; 8] = first.try_into().unwrap_or_default();
+        let greeting = HandshakePacket::new(
+            10,
+            &b"8.0.36-beamgap"[..],
+            self.connections,
+            first,
+            Some([rest, &[0]].concat()),
+            packets::capabilities(),
+            COLLATION,
+            StatusFlags::SERVER_STATUS_AUTOCOMMIT,
+            Some(PLUGIN),
+        );
+        let (mut body, mut out) = (Vec::new(), Vec::new());
+        greeting.serialize(&mut body);
+        packets::push(&mut out, 0, &body);
+        link.put(&out);
+        let key = self.sessions.insert(Session {
+            link,
+            phase: Phase::Greeted,
+            nonce,
+            user: Vec::new(),
+            tenant: None,
+            schema: None,
+            statements: HashMap::new(),
+            next_statement: 1,
+            requests: 0,
+        });
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        if session.link.watch(cx.registry, Owner::Mysql(key)).is_err() {
+            self.sessions.remove(key);
+            return;
+        }
+        cx.deadlines.set(cx.now + LOGIN_MS, Wake::MysqlLogin(key));
+        self.ready(key, cx);
+    }
+
+    /// Lets a client go that has not logged in.
+    pub fn login_over(&mut self, key: Key, cx: &mut Cx) {
+        if self.sessions.get(key).is_some_and(|s| matches!(s.phase, Phase::Greeted | Phase::Switched)) {
+            self.close(key, cx);
+        }
+    }
+
+    /// A socket has something to say, or a command may be taken again.
+    pub fn ready(&mut self, key: Key, cx: &mut Cx) {
+        loop {
+            let Some(session) = self.sessions.get_mut(key) else { return };
+            if session.link.flush().is_err() {
+                return self.close(key, cx);
+            }
+            let end = session.link.read(PACKET_MOST + 8);
+            let mut more = session.link.has_more();
+            while let Some(session) = self.sessions.get_mut(key) {
+                if matches!(session.phase, Phase::Busy(_)) || session.link.waiting() > OUT_HIGH {
+                    more = false; // The answer, or a client that takes it, brings us back here.
+                    break;
+                }
+                match packets::packet(&session.link.input) {
+                    Ok(None) => break,
+                    Ok(Some((number, body))) => {
+                        let body = body.to_vec();
+                        session.link.used(4 + body.len());
+                        if !self.packet(key, number, &body, cx) {
+                            return self.part(key, cx);
+                        }
+                    }
+                    Err(too_long) => {
+                        session.wrong(too_long.0, TOO_LONG);
+                        return self.part(key, cx);
+                    }
+                }
+            }
+            let Some(session) = self.sessions.get_mut(key) else { return };
+            let broken = session.link.flush().is_err();
+            if broken || !matches!(end, Ok(ReadEnd::Open)) {
+                return self.close(key, cx);
+            }
+            if !more {
+                return;
+            }
+        }
+    }
+
+    /// Writes what it can of the last word, and closes.
+    fn part(&mut self, key: Key, cx: &mut Cx) {
+        if let Some(session) = self.sessions.get_mut(key) {
+            // It is closed in any case.
+            let _ = session.link.flush();
+            session.link.finish();
+        }
+        self.close(key, cx);
+    }
+
+    fn close(&mut self, key: Key, cx: &mut Cx) {
+        let Some(session) = self.sessions.remove(key) else { return };
+        if matches!(session.phase, Phase::Busy(_)) {
+            let asker = Asker { front: Front::Mysql, conn: key, id: session.requests };
+            cx.heard.push(Heard::Gone(asker));
+        }
+    }
+
+    /// Takes a packet; `false` if the session is to end.
+    fn packet(&mut self, key: Key, number: u8, body: &[u8], cx: &mut Cx) -> bool {
+        match self.sessions.get(key).map(|session| session.phase) {
+            Some(Phase::Greeted) => self.login(key, number, body),
+            Some(Phase::Switched) => self.check(key, number, body),
+            Some(_) => self.command(key, number, body, cx),
+            None => false,
+        }
+    }
+
+    fn login(&mut self, key: Key, number: u8, body: &[u8]) -> bool {
+        let Some(session) = self.sessions.get_mut(key) else { return false };
+        let Ok(response) = ParseBuf(body).parse::<HandshakeResponse>(()) else {
+            session.wrong(number, MALFORMED);
+            return false;
+        };
+        if !response.capabilities().contains(CapabilityFlags::CLIENT_PROTOCOL_41)
+            || response.capabilities().contains(CapabilityFlags::CLIENT_SSL)
+        {
+            session.wrong(number, MALFORMED);
+            return false;
+        }
+        session.user = response.user().to_vec();
+        let schema = response.db_name().map(|name| String::from_utf8_lossy(name).into_owned());
+        session.schema = schema.filter(|name| !name.is_empty());
+        let other = response.auth_plugin().is_some_and(|plugin| plugin.as_bytes() != PLUGIN);
+        if other {
+            let body = [&[0xfe], PLUGIN, &[0], &session.nonce, &[0]].concat();
+            session.reply(number, &body);
+            session.phase = Phase::Switched;
+            return true;
+        }
+        let scramble = response.scramble_buf().to_vec();
+        self.check(key, number, &scramble)
+    }
+
+    fn check(&mut self, key: Key, number: u8, scramble: &[u8]) -> bool {
+        let Some(session) = self.sessions.get_mut(key) else { return false };
+        let account = self.settings.accounts.iter().find(|account| account.user.as_bytes() == session.user);
+        let good = account.filter(|account| {
+            let expected = scramble_native(&session.nonce, account.password.as_bytes());
+            let expected = expected.map(|e| e.to_vec()).unwrap_or_default();
+            // All bytes are compared, so that the time taken tells nothing.
+            let differ = expected.iter().zip(scramble).fold(0, |sum, (a, b)| sum | (a ^ b));
+            expected.len() == scramble.len() && differ == 0
+        });
+        match good {
+            Some(account) => {
+                (session.tenant, session.phase) = (account.tenant.clone(), Phase::Ready);
+                session.reply(number, &packets::ok());
+                true
+            }
+            None => {
+                session.wrong(number, DENIED);
+                false
+            }
+        }
+    }
+
+    fn command(&mut self, key: Key, number: u8, body: &[u8], cx: &mut Cx) -> bool {
+        let Some(session) = self.sessions.get_mut(key) else { return false };
+        let Some((command, rest)) = body.split_first() else {
+            session.wrong(number, MALFORMED);
+            return false;
+        };
+        let handle = rest.first_chunk::<4>().map(|id| u32::from_le_bytes(*id));
+        match *command {
+            QUIT => return false,
+            PING => session.reply(number, &packets::ok()),
+            INIT_DB => session.choose_schema(number, rest),
+            RESET_CONNECTION => {
+                session.statements.clear();
+                session.schema = None;
+                session.reply(number, &packets::ok());
+            }
+            QUERY => self.query(key, number, rest, cx),
+            STMT_PREPARE => session.prepare(number, rest),
+            STMT_EXECUTE => self.execute(key, number, rest, cx),
+            STMT_SEND_LONG_DATA => session.long_data(rest), // Gets no answer.
+            STMT_CLOSE => {
+                handle.and_then(|handle| session.statements.remove(&handle)); // Gets no answer.
+            }
+            STMT_RESET => match handle.and_then(|id| session.statements.get_mut(&id)) {
+                Some(statement) => {
+                    statement.long.clear();
+                    session.reply(number, &packets::ok());
+                }
+                None => session.wrong(number, UNKNOWN_STATEMENT),
+            },
+            STMT_FETCH | CHANGE_USER | SET_OPTION | PROCESS_KILL | FIELD_LIST => {
+                session.unsupported(number, "this command")
+            }
+            _ => session.wrong(number, UNKNOWN_COMMAND),
+        }
+        true
+    }
+
+    fn query(&mut self, key: Key, number: u8, text: &[u8], cx: &mut Cx) {
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        let words = statement::words(text);
+        if words.first().is_some_and(|w| w == "USE") {
+            let name = String::from_utf8_lossy(&text[3.min(text.len())..]).into_owned();
+            let name = name.trim().trim_end_matches(';').trim().trim_matches('`');
+            return session.choose_schema(number, name.as_bytes());
+        }
+        if let Err(bound) = statement::movable(&words) {
+            return session.unsupported(number, bound.0);
+        }
+        self.ask(key, number, text.to_vec(), &words, None, cx);
+    }
+
+    fn execute(&mut self, key: Key, number: u8, rest: &[u8], cx: &mut Cx) {
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        let Some((handle, after)) = rest.split_first_chunk::<4>() else {
+            return session.wrong(number, MALFORMED);
+        };
+        let Some(statement) = session.statements.get_mut(&u32::from_le_bytes(*handle)) else {
+            return session.wrong(number, UNKNOWN_STATEMENT);
+        };
+        match statement.bind(after) {
+            Ok(bound) => {
+                let text = statement.text.clone();
+                let words = statement::words(&text);
+                self.ask(key, number, text, &words, Some(bound), cx);
+            }
+            Err(wrong) if wrong == UNSUPPORTED.0 => session.unsupported(number, "a cursor"),
+            Err(wrong) if wrong == WRONG_ARGUMENTS.0 => session.wrong(number, WRONG_ARGUMENTS),
+            Err(_) => session.wrong(number, MALFORMED),
+        }
+    }
+
+    /// Hands a request to the core, under the class that the operator's rules give it.
+    fn ask(
+        &mut self,
+        key: Key,
+        number: u8,
+        text: Vec<u8>,
+        words: &[String],
+        bound: Option<Bound>,
+        cx: &mut Cx,
+    ) {
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        let verb = words.iter().find(|w| *w != "(").map_or("", String::as_str);
+        let lower = String::from_utf8_lossy(&text).to_lowercase();
+        let reads = statement::only_reads(words);
+        let rule = self.settings.rules.iter().find(|rule| {
+            let verb = rule.verb.as_deref().is_none_or(|v| v == verb);
+            verb && rule.mentions.as_deref().is_none_or(|m| lower.contains(m))
+        });
+        // Guards against a rule that is too wide: what does more than read is never run twice.
+        let rule = rule.filter(|rule| reads || self.classes[rule.class.0].0 == Repeat::Unsafe);
+        let class = rule.map_or(self.settings.default_class, |rule| rule.class);
+        session.requests += 1;
+        session.phase = Phase::Busy(number);
+        let id = session.requests;
+        cx.heard.push(Heard::Asked(Ask {
+            asker: Asker { front: Front::Mysql, conn: key, id },
+            name: Arc::from(format!("m{}-{}-{id}", key.slot, key.generation)),
+            class,
+            sent: cx.now,
+            budget: rule.and_then(|rule| rule.budget_ms).unwrap_or(self.classes[class.0].1),
+            tables: tables::group(&text).unwrap_or(0),
+            work_ms: rule.and_then(|rule| rule.work_ms),
+            memory_mb: rule.and_then(|rule| rule.memory_mb),
+            tenant: session.tenant.clone(),
+            payload: Rc::new(Payload { statement: text, bound, schema: session.schema.clone() }),
+        }));
+    }
+
+    /// Writes an answer, if its client still waits for it, and takes the next command.
+    pub fn answer(&mut self, asker: Asker, answer: Answer, cx: &mut Cx) {
+        let Some(session) = self.sessions.get_mut(asker.conn).filter(|s| s.requests == asker.id) else {
+            return;
+        };
+        let Phase::Busy(number) = session.phase else { return };
+        session.phase = Phase::Ready;
+        match answer {
+            Answer::Served(mut body) => {
+                packets::renumber(&mut body, number.wrapping_add(1));
+                session.link.put(&body);
+            }
+            Answer::Error(body) => session.reply(number, &body),
+            Answer::Refused { backoff_ms } => {
+                let back = backoff_ms.ceil().max(1.0);
+                let message = format!("refused, not run; come back in {back} ms");
+                session.wrong(number, (REFUSED.0, REFUSED.1, &message));
+            }
+            Answer::TimedOut => session.wrong(number, TIMED_OUT),
+            Answer::Failed => session.wrong(number, FAILED),
+        }
+        self.ready(asker.conn, cx);
+        let (total, most) = heaviest(self.sessions.iter().map(|(key, s)| (s.link.waiting(), key)));
+        if let Some(key) = most.filter(|_| total > self.out_total_most) {
+            cx.log.push(format!("slow client: closed, bytes={total}"));
+            self.close(key, cx);
+        }
+    }
+
+    /// Closes the sessions in which nothing is open; used at a planned end.
+    pub fn close_idle(&mut self, cx: &mut Cx) {
+        for key in self.sessions.keys() {
+            let idle = |s: &Session| !matches!(s.phase, Phase::Busy(_)) && s.link.waiting() == 0;
+            if self.sessions.get(key).is_some_and(idle) {
+                self.close(key, cx);
+            }
+        }
+    }
+}
+
+impl Session {
+    fn unsupported(&mut self, number: u8, what: &str) {
+        let message = format!("beamgap does not support {what}: it would not move from box to box");
+        self.wrong(number, (UNSUPPORTED.0, UNSUPPORTED.1, &message));
+    }
+
+    fn choose_schema(&mut self, number: u8, name: &[u8]) {
+        match std::str::from_utf8(name) {
+            Ok(name) if !name.is_empty() => {
+                self.schema = Some(name.to_owned());
+                self.reply(number, &packets::ok());
+            }
+            _ => self.wrong(number, (1049, "42000", "Unknown database")),
+        }
+    }
+
+    /// Keeps a statement. No box has seen it yet, so its columns are told only with the first result.
+    fn prepare(&mut self, number: u8, text: &[u8]) {
+        let words = statement::words(text);
+        if let Err(bound) = statement::movable(&words) {
+            return self.unsupported(number, bound.0);
+        }
+        let parameters = statement::parameters(&words);
+        if self.statements.len() >= STATEMENTS_MOST
+            || self.bytes() + text.len() > SESSION_MOST
+            || parameters > PARAMETERS_MOST
+        {
+            return self.wrong(number, TOO_MANY);
+        }
+        let handle = self.next_statement;
+        self.next_statement = self.next_statement.wrapping_add(1).max(1);
+        let (types, long) = (Vec::new(), BTreeMap::new());
+        self.statements.insert(handle, Statement { text: text.to_vec(), parameters, types, long });
+        let mut body = vec![0];
+        body.extend(handle.to_le_bytes());
+        body.extend(0u16.to_le_bytes());
+        body.extend((parameters as u16).to_le_bytes());
+        body.extend([0, 0, 0]);
+        let (mut out, mut number) = (Vec::new(), number.wrapping_add(1));
+        packets::push(&mut out, number, &body);
+        if parameters > 0 {
+            let parameter = parameter_definition();
+            for _ in 0..parameters {
+                number = number.wrapping_add(1);
+                packets::push(&mut out, number, &parameter);
+            }
+            packets::push(&mut out, number.wrapping_add(1), &packets::eof());
+        }
+        self.link.put(&out);
+    }
+
+    /// Adds to a long value. Nothing is answered; what is wrong shows when the statement is executed.
+    fn long_data(&mut self, rest: &[u8]) {
+        let room = SESSION_MOST.saturating_sub(self.bytes());
+        let Some((handle, rest)) = rest.split_first_chunk::<4>() else { return };
+        let Some((place, data)) = rest.split_first_chunk::<2>() else { return };
+        let Some(statement) = self.statements.get_mut(&u32::from_le_bytes(*handle)) else { return };
+        let place = u16::from_le_bytes(*place);
+        if usize::from(place) >= statement.parameters || data.len() > room {
+            statement.long.insert(u16::MAX, Vec::new()); // No parameter has this place: `bind` refuses it.
+            return;
+        }
+        statement.long.entry(place).or_default().extend_from_slice(data);
+    }
+}
+
+impl Statement {
+    /// Reads what an execution binds: flags, null bits, types where they are new, values. Else an error's code.
+    fn bind(&mut self, rest: &[u8]) -> Result<Bound, u16> {
+        let long: Vec<(u16, Vec<u8>)> = std::mem::take(&mut self.long).into_iter().collect();
+        if long.iter().any(|(place, _)| usize::from(*place) >= self.parameters) {
+            return Err(WRONG_ARGUMENTS.0);
+        }
+        let (flags, rest) = rest.split_first_chunk::<5>().ok_or(MALFORMED.0)?;
+        if flags[0] != 0 {
+            return Err(UNSUPPORTED.0);
+        }
+        let count = self.parameters;
+        if count == 0 {
+            return Ok(Bound::default());
+        }
+        let (nulls, rest) = rest.split_at_checked(count.div_ceil(8)).ok_or(MALFORMED.0)?;
+        let (new, mut values) = rest.split_first().ok_or(MALFORMED.0)?;
+        if *new == 1 {
+            let (types, rest) = values.split_at_checked(2 * count).ok_or(MALFORMED.0)?;
+            (self.types, values) = (types.to_vec(), rest);
+        }
+        if self.types.len() != 2 * count {
+            return Err(WRONG_ARGUMENTS.0);
+        }
+        let (types, nulls, values) = (self.types.clone(), nulls.to_vec(), values.to_vec());
+        Ok(Bound { count, types, nulls, values, long })
+    }
+}
+
+/// A parameter's definition: a nameless string of the widest kind, as servers tell it.
+fn parameter_definition() -> Vec<u8> {
+    let mut body = Vec::new();
+    for text in [&b"def"[..], b"", b"", b"", b"?", b""] {
+        body.push(text.len() as u8);
+        body.extend_from_slice(text);
+    }
+    body.extend([0x0c, 63, 0, 0, 0, 0, 0, 0xfd, 0x80, 0, 0, 0, 0]);
+    body
+}
+
+/// Twenty bytes that nobody can foresee, none of them zero, from the system's own randomness.
+fn nonce() -> [u8; 20] {
+    let mut nonce = [0; 20];
+    for chunk in nonce.chunks_mut(8) {
+        let random = RandomState::new().build_hasher().finish().to_le_bytes();
+        chunk.iter_mut().zip(random).for_each(|(to, from)| *to = from % 94 + 33);
+    }
+    nonce
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -11,10 +11,12 @@
 pub mod exchange;
 pub mod front;
 pub mod json;
+pub mod packets;
 pub mod reactor;
 pub mod slots;
 pub mod tables;
 
+use backend::mysql::MysqlBoxes;
 use backend::warehouse::Warehouses;
 use backend::Cx;
 use bulletin::{Bulletin, News};
@@ -23,6 +25,7 @@
 use deadlines::{Deadlines, Wake};
 use exchange::{AttemptRef, Exchange, Front, Heard, Order};
 use front::jsonrpc::JsonRpc;
+use front::mysql::MysqlFront;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll};
 use reactor::Owner;
@@ -35,6 +38,7 @@
 const SETTLE_MS: f64 = 1000.0; // after SIGTERM new connections and requests come for up to 0.6 s
 const END_LOOK_MS: f64 = 50.0; // between looks whether all is answered
 const LISTENER: u32 = 1;
+const MYSQL_LISTENER: u32 = 2;
 const SIGNAL: u32 = 0;
 
 /// The node with all its parts.
@@ -42,12 +46,13 @@
     clock: Clock,
     poll: Poll,
     events: Events,
-    listener: Option<TcpListener>,
+    listeners: Vec<(Front, TcpListener)>,
     accept_paused: bool,
     client_sockets: usize,
     deadlines: Deadlines,
     exchange: Exchange,
     jsonrpc: JsonRpc,
+    mysql: Option<(MysqlFront, MysqlBoxes)>,
     warehouses: Warehouses,
     bulletin: Option<Bulletin>,
     ending: Option<f64>,
@@ -59,18 +64,15 @@
     /// Builds the node and listens; it serves as soon as it is turned.
     pub fn new(config: Config, clock: Clock) -> io::Result<Node> {
         let poll = Poll::new()?;
-        let listener = match config.listen {
-            Some(address) => {
+        let mut listeners = Vec::new();
+        let mysql_listen = config.mysql.as_ref().map(|mysql| mysql.listen);
+        for (front, address) in [(Front::JsonRpc, config.listen), (Front::Mysql, mysql_listen)] {
+            if let Some(address) = address {
                 let mut listener = TcpListener::bind(address)?;
-                poll.registry().register(
-                    &mut listener,
-                    Owner::Fixed(LISTENER).token(),
-                    Interest::READABLE,
-                )?;
-                Some(listener)
+                poll.registry().register(&mut listener, listener_token(front), Interest::READABLE)?;
+                listeners.push((front, listener));
             }
-            None => None,
-        };
+        }
         let names = config.settings.classes.iter().map(|c| c.name.clone()).collect();
         let client_sockets = config.client_sockets();
         let backend_sockets = config.sockets.saturating_sub(client_sockets + 32).max(4);
@@ -80,6 +82,11 @@
         let last = config.known.iter().map(|news| news.number).max().unwrap_or(0);
         let out_most = (config.memory_mb * 1048576.0 / 4.0) as usize;
         let jsonrpc = JsonRpc::new(&config.settings, out_most);
+        let mysql = config.mysql.map(|mysql| {
+            let boxes =
+                MysqlBoxes::new(mysql.clone(), config.dial_ms, config.idle_ms, backend_sockets, out_most);
+            (MysqlFront::new(mysql, &config.settings, out_most), boxes)
+        });
         let exchange = Exchange::new(config.settings, config.seed, config.open_most, out_most)
             .map_err(io::Error::other)?;
         let bulletin = config.bulletin.map(|address| Bulletin::new(address, config.zones, kinds, last));
@@ -87,12 +94,13 @@
             clock,
             poll,
             events: Events::with_capacity(256),
-            listener,
+            listeners,
             accept_paused: false,
             client_sockets,
             deadlines: Deadlines::default(),
             exchange,
             jsonrpc,
+            mysql,
             warehouses,
             bulletin,
             ending: None,
@@ -108,9 +116,10 @@
         Ok(node)
     }
 
-    /// Where the platform's clients may connect.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.listener.as_ref().and_then(|listener| listener.local_addr().ok())
+    /// Where a front's clients may connect.
+    pub fn address(&self, front: Front) -> Option<SocketAddr> {
+        let (_, listener) = self.listeners.iter().find(|(of, _)| *of == front)?;
+        listener.local_addr().ok()
     }
 
     /// Watches a stream whose first byte asks for a planned end.
@@ -170,25 +179,28 @@
 
     fn ready(&mut self, owner: Owner, now: f64, sent: f64) {
         let mut heard = Vec::new();
-        let Node { poll, deadlines, log, jsonrpc, warehouses, bulletin, .. } = self;
+        let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, .. } = self;
         let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log };
         match owner {
             Owner::Fixed(SIGNAL) => self.end(),
-            Owner::Fixed(_) => self.accept(now, &mut heard),
+            Owner::Fixed(LISTENER) => self.accept(Front::JsonRpc, now, &mut heard),
+            Owner::Fixed(_) => self.accept(Front::Mysql, now, &mut heard),
             Owner::JsonRpc(key) => jsonrpc.ready(key, sent, &mut cx),
             Owner::Warehouse(key) => warehouses.ready(key, &mut cx),
             Owner::Bulletin(generation) => {
                 let news = bulletin.as_mut().map(|b| b.ready(now, generation)).unwrap_or_default();
                 self.news(news, &mut heard);
             }
-            Owner::Mysql(_) | Owner::MysqlBox(_) | Owner::Control(_) => {}
+            Owner::Mysql(key) => mysql.iter_mut().for_each(|(front, _)| front.ready(key, &mut cx)),
+            Owner::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.ready(key, &mut cx)),
+            Owner::Control(_) => {}
         }
         self.settle(heard);
     }
 
     fn wake(&mut self, wake: Wake, now: f64) {
         let mut heard = Vec::new();
-        let Node { poll, deadlines, log, warehouses, bulletin, exchange, .. } = self;
+        let Node { poll, deadlines, log, mysql, warehouses, bulletin, exchange, .. } = self;
         let registry = poll.registry();
         let mut cx = Cx { now, registry, deadlines, heard: &mut heard, log };
         match wake {
@@ -201,33 +213,47 @@
             Wake::Bulletin => bulletin.iter_mut().for_each(|b| b.look(now, registry, deadlines)),
             Wake::AcceptAgain => {
                 self.accept_paused = false;
-                self.accept(now, &mut heard);
+                self.accept(Front::JsonRpc, now, &mut heard);
+                self.accept(Front::Mysql, now, &mut heard);
             }
             Wake::Ending => self.look_at_end(now, &mut heard),
-            Wake::MysqlBox(_) | Wake::MysqlLogin(_) | Wake::Control(_) => {}
+            Wake::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.look(key, &mut cx)),
+            Wake::MysqlLogin(key) => {
+                mysql.iter_mut().for_each(|(front, _)| front.login_over(key, &mut cx));
+            }
+            Wake::Control(_) => {}
         }
         self.settle(heard);
     }
 
     /// After the platform's windows: stops accepting, closes what is idle, and ends when nothing is open.
     fn look_at_end(&mut self, now: f64, heard: &mut Vec<Heard>) {
-        self.listener = None;
-        let Node { poll, deadlines, log, jsonrpc, .. } = self;
-        jsonrpc.close_idle(&mut Cx { now, registry: poll.registry(), deadlines, heard, log });
-        self.ended = self.exchange.open_requests() == 0 && self.jsonrpc.all_written();
+        self.listeners.clear();
+        let Node { poll, deadlines, log, jsonrpc, mysql, exchange, .. } = self;
+        let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
+        jsonrpc.close_idle(&mut cx);
+        mysql.iter_mut().for_each(|(front, _)| front.close_idle(&mut cx));
+        let written = jsonrpc.all_written() && mysql.iter().all(|(front, _)| front.all_written());
+        self.ended = exchange.open_requests() == 0 && written;
         if !self.ended {
             self.deadlines.set(now + END_LOOK_MS, Wake::Ending);
         }
     }
 
-    fn accept(&mut self, now: f64, heard: &mut Vec<Heard>) {
-        while let Some(listener) = self.listener.as_ref().filter(|_| !self.accept_paused) {
-            let full = self.jsonrpc.len() >= self.client_sockets;
+    fn accept(&mut self, front: Front, now: f64, heard: &mut Vec<Heard>) {
+        while !self.accept_paused {
+            let Node { poll, deadlines, log, jsonrpc, mysql, listeners, .. } = self;
+            let Some((_, listener)) = listeners.iter().find(|(of, _)| *of == front) else { return };
+            let clients = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len());
+            let full = clients >= self.client_sockets;
             let accepted = if full { Err(ErrorKind::QuotaExceeded.into()) } else { listener.accept() };
             match accepted {
                 Ok((stream, _)) => {
-                    let Node { poll, deadlines, log, jsonrpc, .. } = self;
-                    jsonrpc.accept(stream, &mut Cx { now, registry: poll.registry(), deadlines, heard, log });
+                    let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
+                    match (front, mysql) {
+                        (Front::Mysql, Some((mysql, _))) => mysql.accept(stream, &mut cx),
+                        _ => jsonrpc.accept(stream, &mut cx),
+                    }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted || e.kind() == ErrorKind::ConnectionAborted => {}
@@ -243,9 +269,10 @@
     fn news(&mut self, news: Vec<News>, heard: &mut Vec<Heard>) {
         let now = self.clock.now();
         for News { number, kind, listings } in news {
-            let Node { poll, deadlines, log, warehouses, .. } = self;
+            let Node { poll, deadlines, log, mysql, warehouses, .. } = self;
             let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
             warehouses.members(kind, &listings, &mut cx);
+            mysql.iter_mut().for_each(|(_, boxes)| boxes.members(kind, &listings, &mut cx));
             for listing in &listings {
                 let m = &listing.member;
                 let (engine, address, state) = (&m.engine.0, listing.address, m.state);
@@ -268,24 +295,42 @@
             if orders.is_empty() {
                 return;
             }
-            let Node { poll, deadlines, log, jsonrpc, warehouses, .. } = self;
+            let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, .. } = self;
             let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log };
             for order in orders {
-                match order {
-                    Order::Answer(asker, answer) => match asker.front {
-                        Front::JsonRpc => jsonrpc.answer(asker, &answer, &mut cx),
-                        Front::Mysql => {}
-                    },
-                    Order::Start(start) => warehouses.start(start, &mut cx),
-                    Order::GiveUp(attempt) => warehouses.give_up(attempt, &mut cx),
-                    Order::Hurry(attempt, priority) => warehouses.hurry(attempt, priority, &mut cx),
-                    Order::CloseIdle(engine) => warehouses.close_idle(&engine, &mut cx),
+                match (order, mysql.as_mut()) {
+                    (Order::Answer(asker, answer), Some((front, _))) if asker.front == Front::Mysql => {
+                        front.answer(asker, answer, &mut cx);
+                    }
+                    (Order::Answer(asker, answer), _) => jsonrpc.answer(asker, &answer, &mut cx),
+                    (Order::Start(start), Some((_, boxes))) if start.front == Front::Mysql => {
+                        boxes.start(start, &mut cx);
+                    }
+                    (Order::Start(start), _) => warehouses.start(start, &mut cx),
+                    // A pool passes over attempts and engines that are not its own.
+                    (Order::GiveUp(attempt), boxes) => {
+                        warehouses.give_up(attempt, &mut cx);
+                        boxes.into_iter().for_each(|(_, boxes)| boxes.give_up(attempt, &mut cx));
+                    }
+                    (Order::Hurry(attempt, priority), _) => warehouses.hurry(attempt, priority, &mut cx),
+                    (Order::CloseIdle(engine), boxes) => {
+                        warehouses.close_idle(&engine, &mut cx);
+                        boxes.into_iter().for_each(|(_, boxes)| boxes.close_idle(&engine, &mut cx));
+                    }
                 }
             }
         }
     }
 }
 
+fn listener_token(front: Front) -> mio::Token {
+    let number = match front {
+        Front::JsonRpc => LISTENER,
+        Front::Mysql => MYSQL_LISTENER,
+    };
+    Owner::Fixed(number).token()
+}
+
 fn millis(ms: f64) -> Duration {
     Duration::from_secs_f64((ms / 1000.0).clamp(0.0, 3600.0))
 }
--- a/src/node/reactor.rs
+++ b/src/node/reactor.rs
@@ -68,6 +68,18 @@
     more: bool,
 }
 
+/// Sums up what waits on many links, and names the one on which the most does.
+pub fn heaviest(links: impl Iterator<Item = (usize, Key)>) -> (usize, Option<Key>) {
+    let (mut total, mut most) = (0, (0, None));
+    for (waiting, key) in links {
+        total += waiting;
+        if waiting > most.0 {
+            most = (waiting, Some(key));
+        }
+    }
+    (total, most.1)
+}
+
 /// How a read went.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadEnd {
