--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -308,3 +308,17 @@
         (0..20).for_each(|_| self.turn());
     }
 }
+
+impl Peer {
+    pub fn address(&self) -> SocketAddr {
+        self.stream.peer_addr().unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+}
+
+impl Stage {
+    /// Tells of a change of this house, whoever spoke last.
+    pub fn tell_of(&mut self, house: usize, text: &str) {
+        self.current.0 = house;
+        self.tell(text);
+    }
+}
