Tell balancers and proxies what the module sees: health, agent check, xDS endpoints

Saw: nothing outside could balance by the module's decisions. Gateway::standings and admitted_share (src/decide/standing.rs) give its view; src/node/control writes it as HTTP health, an agent-check line and xDS v3 endpoints in REST-JSON. Off unless an operator's file has a control section. Checked: tests/control.rs, also bad configurations (one line with the key) and SIGTERM on the process.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+pub mod standing;
 
 const GAMMA: f64 = 1.0; // quota; weight of a flag's entropy in its price: the paper's
 const BETA: f64 = 0.5; // quota; discount for each miss since the last refill: the paper's
@@ -462,11 +463,10 @@
     }
 
     fn usable(&self, seq: u64, e: usize) -> bool {
-        let (engine, unsafe_class) =
-            (&self.engines[e], self.class(&self.jobs[&seq]).repeat == Repeat::Unsafe);
+        let (engine, class) = (&self.engines[e], self.class(&self.jobs[&seq]));
         let tries = engine.health == Health::HalfOpen && engine.out < 1.0;
         // What can't be sent again is never the trial of an engine that failed.
-        (engine.health == Health::Well || (tries && !unsafe_class)) && self.may_send(seq, e)
+        (engine.health == Health::Well || (tries && class.repeat != Repeat::Unsafe)) && self.may_send(seq, e)
     }
 
     /// Past the bound, which binds under pressure; a line counts the more the less own threads tell.
--- /dev/null
+++ b/src/decide/standing.rs
@@ -0,0 +1,47 @@
+//! What the module holds of each engine and of its own room, for those outside who balance by it.
+
+use super::{Gateway, Health, MemberState};
+use crate::api::EngineId;
+
+/// How an engine stands in the module's eyes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    /// The engine.
+    pub engine: EngineId,
+    /// Its zone.
+    pub zone: String,
+    /// What the list says of it.
+    pub state: MemberState,
+    /// Whether it is trusted with new work: listed, and not put aside for bad signs.
+    pub takes: bool,
+    /// What it can do against the others: cores, less while it is cold or slow.
+    pub weight: f64,
+}
+
+impl Gateway {
+    /// All engines that are not gone, in the order of their ids.
+    pub fn standings(&self) -> Vec<Standing> {
+        let listed = self.engines.iter().filter(|e| e.member.state != MemberState::Gone);
+        let listed = listed.filter(|e| e.listed || e.member.state == MemberState::Draining);
+        let mut standings: Vec<Standing> = listed
+            .map(|e| Standing {
+                engine: e.member.engine.clone(),
+                zone: e.member.zone.clone(),
+                state: e.member.state,
+                takes: e.listed && !matches!(e.health, Health::Ejected(_)),
+                weight: e.cores * self.warmth(e) / e.stretch.max(1.0),
+            })
+            .collect();
+        standings.sort_by(|a, b| a.engine.cmp(&b.engine));
+        standings
+    }
+
+    /// The share of the work asked for that is admitted now, from 0 to 1; 0 where no engine takes any.
+    pub fn admitted_share(&self) -> f64 {
+        if self.engines.iter().any(|e| e.listed && !matches!(e.health, Health::Ejected(_))) {
+            self.admitted
+        } else {
+            0.0
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,4 +47,5 @@
 mod state;
 
 pub use api::*;
+pub use decide::standing::Standing;
 pub use decide::Gateway;
--- a/src/main.rs
+++ b/src/main.rs
@@ -30,14 +30,16 @@
         .map_err(|e| format!("signals: {e}"))?;
     node.watch_signal(&mut ended).map_err(|e| format!("signals: {e}"))?;
     let log = start_log(name)?;
-    while !node.ended() {
-        node.turn(TURN).map_err(|e| format!("poll: {e}"))?;
+    loop {
         for line in node.take_log() {
             // A full queue drops the line: the log never holds the front end up.
             let _ = log.try_send(line);
         }
+        if node.ended() {
+            return Ok(());
+        }
+        node.turn(TURN).map_err(|e| format!("poll: {e}"))?;
     }
-    Ok(())
 }
 
 /// A thread that writes the log, so that a reader who stands still stops nobody.
--- a/src/node/backend/roster.rs
+++ b/src/node/backend/roster.rs
@@ -56,6 +56,11 @@
         self.0.get(id).filter(|engine| engine.state == MemberState::Serving)
     }
 
+    /// Where an engine listens.
+    pub fn address(&self, id: &EngineId) -> Option<SocketAddr> {
+        self.0.get(id).map(|engine| engine.address)
+    }
+
     /// An engine, whatever its state.
     pub fn get_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
         self.0.get_mut(id)
--- a/src/node/backend/warehouse.rs
+++ b/src/node/backend/warehouse.rs
@@ -9,6 +9,7 @@
 use crate::node::slots::{Key, Slots};
 use crate::{settings, EngineId, ListKind, LoadReport, Micros, Note, Outcome, TrueCost};
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 const LOOK_MS: f64 = 500.0; // between looks at a connection: as often as notes come
@@ -182,6 +183,11 @@
         }
     }
 
+    /// Where an engine listens.
+    pub fn address(&self, id: &EngineId) -> Option<SocketAddr> {
+        self.roster.address(id)
+    }
+
     /// Ends what waits unwritten on a connection: turned away unseen.
     fn take_back(&mut self, key: Key, cx: &mut Cx) {
         let wants = self.conns.get_mut(key).map(|conn| std::mem::take(&mut conn.wants));
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -72,6 +72,19 @@
     pub open_most: usize,
     /// The MySQL front and its boxes; none if it is off.
     pub mysql: Option<MysqlSettings>,
+    /// Where balancers and proxies ask; nowhere unless an operator's file says so.
+    pub control: ControlSettings,
+}
+
+/// Where balancers and proxies ask.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ControlSettings {
+    /// Health over HTTP, and xDS.
+    pub http: Option<SocketAddr>,
+    /// The agent check.
+    pub agent: Option<SocketAddr>,
+    /// The name of the cluster that xDS tells of.
+    pub cluster: String,
 }
 
 /// A client's account on the MySQL front.
@@ -180,6 +193,7 @@
             streams: figure(&pairs, "Limits.StreamsPerConn", STREAMS)?.max(1.0) as usize,
             open_most: figure(&pairs, "Limits.MaxOpen", OPEN_MOST)?.max(1.0) as usize,
             mysql,
+            control: read_control(&root)?,
         };
         if config.sockets < 32 {
             return wrong("limits.sockets", "is under 32, too few to serve with");
@@ -256,6 +270,21 @@
     text.parse().or_else(|_| wrong(key, format!("is '{text}', not an address with a port")))
 }
 
+fn read_control(root: &OwnedValue) -> Read<ControlSettings> {
+    let cluster = "query-boxes".to_owned();
+    let Some(control) = root.get("control") else {
+        return Ok(ControlSettings { cluster, ..ControlSettings::default() });
+    };
+    let text =
+        |key: &str| text_of(control, key).map_err(|e| ConfigError { key: format!("control.{}", e.key), ..e });
+    let at = |key: &str| text(key)?.map(|text| address(text, &format!("control.{key}"))).transpose();
+    Ok(ControlSettings {
+        http: at("http")?,
+        agent: at("agent")?,
+        cluster: text("cluster")?.map_or(cluster, str::to_owned),
+    })
+}
+
 fn read_mysql(
     mysql: &OwnedValue,
     settings: &Settings,
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -264,6 +264,11 @@
         self.open.len()
     }
 
+    /// The decision module, to look at.
+    pub fn gateway(&self) -> &Gateway {
+        &self.gateway
+    }
+
     /// What is to be done, in order.
     pub fn take_orders(&mut self) -> Vec<Order> {
         std::mem::take(&mut self.orders)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 pub mod bulletin;
 pub mod clock;
 pub mod config;
+pub mod control;
 pub mod deadlines;
 pub mod exchange;
 pub mod front;
@@ -22,6 +23,7 @@
 use bulletin::{Bulletin, News};
 use clock::Clock;
 use config::Config;
+use control::{Control, Kind, View};
 use deadlines::{Deadlines, Wake};
 use exchange::{AttemptRef, Exchange, Front, Heard, Order};
 use front::jsonrpc::JsonRpc;
@@ -39,6 +41,8 @@
 const END_LOOK_MS: f64 = 50.0; // between looks whether all is answered
 const LISTENER: u32 = 1;
 const MYSQL_LISTENER: u32 = 2;
+const HTTP_LISTENER: u32 = 3;
+const AGENT_LISTENER: u32 = 4;
 const SIGNAL: u32 = 0;
 
 /// The node with all its parts.
@@ -55,6 +59,8 @@
     mysql: Option<(MysqlFront, MysqlBoxes)>,
     warehouses: Warehouses,
     bulletin: Option<Bulletin>,
+    control: Control,
+    control_listeners: Vec<(Kind, TcpListener)>,
     ending: Option<f64>,
     ended: bool,
     log: Vec<String>,
@@ -73,6 +79,14 @@
                 listeners.push((front, listener));
             }
         }
+        let mut control_listeners = Vec::new();
+        for (kind, address) in [(Kind::Http, config.control.http), (Kind::Agent, config.control.agent)] {
+            if let Some(address) = address {
+                let mut listener = TcpListener::bind(address)?;
+                poll.registry().register(&mut listener, control_token(kind), Interest::READABLE)?;
+                control_listeners.push((kind, listener));
+            }
+        }
         let names = config.settings.classes.iter().map(|c| c.name.clone()).collect();
         let client_sockets = config.client_sockets();
         let backend_sockets = config.sockets.saturating_sub(client_sockets + 32).max(4);
@@ -103,10 +117,18 @@
             mysql,
             warehouses,
             bulletin,
+            control: Control::new(config.control.cluster),
+            control_listeners,
             ending: None,
             ended: false,
             log: Vec::new(),
         };
+        for (front, listener) in &node.listeners {
+            node.log.push(format!("listen: front={front:?} address={}", listener.local_addr()?));
+        }
+        for (kind, listener) in &node.control_listeners {
+            node.log.push(format!("listen: control={kind:?} address={}", listener.local_addr()?));
+        }
         let mut heard = Vec::new();
         node.news(config.known, &mut heard);
         if node.bulletin.is_some() {
@@ -122,6 +144,12 @@
         listener.local_addr().ok()
     }
 
+    /// Where balancers and proxies may ask.
+    pub fn control_address(&self, kind: Kind) -> Option<SocketAddr> {
+        let (_, listener) = self.control_listeners.iter().find(|(of, _)| *of == kind)?;
+        listener.local_addr().ok()
+    }
+
     /// Watches a stream whose first byte asks for a planned end.
     pub fn watch_signal(&mut self, stream: &mut impl mio::event::Source) -> io::Result<()> {
         self.poll.registry().register(stream, Owner::Fixed(SIGNAL).token(), Interest::READABLE)
@@ -179,6 +207,9 @@
 
     fn ready(&mut self, owner: Owner, now: f64, sent: f64) {
         let mut heard = Vec::new();
+        if let Owner::Control(_) | Owner::Fixed(HTTP_LISTENER | AGENT_LISTENER) = owner {
+            return self.control_ready(owner, now);
+        }
         let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, .. } = self;
         let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log };
         match owner {
@@ -193,14 +224,14 @@
             }
             Owner::Mysql(key) => mysql.iter_mut().for_each(|(front, _)| front.ready(key, &mut cx)),
             Owner::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.ready(key, &mut cx)),
-            Owner::Control(_) => {}
+            Owner::Control(_) => {} // Handled above.
         }
         self.settle(heard);
     }
 
     fn wake(&mut self, wake: Wake, now: f64) {
         let mut heard = Vec::new();
-        let Node { poll, deadlines, log, mysql, warehouses, bulletin, exchange, .. } = self;
+        let Node { poll, deadlines, log, mysql, warehouses, bulletin, exchange, control, .. } = self;
         let registry = poll.registry();
         let mut cx = Cx { now, registry, deadlines, heard: &mut heard, log };
         match wake {
@@ -221,11 +252,36 @@
             Wake::MysqlLogin(key) => {
                 mysql.iter_mut().for_each(|(front, _)| front.login_over(key, &mut cx));
             }
-            Wake::Control(_) => {}
+            Wake::Control(key) => control.look(key, &mut cx),
         }
         self.settle(heard);
     }
 
+    fn view(&self) -> View {
+        let gateway = self.exchange.gateway();
+        let with_address = |s: crate::Standing| Some((s.clone(), self.warehouses.address(&s.engine)?));
+        View {
+            ending: self.ending.is_some(),
+            admitted: gateway.admitted_share(),
+            engines: gateway.standings().into_iter().filter_map(with_address).collect(),
+        }
+    }
+
+    fn control_ready(&mut self, owner: Owner, now: f64) {
+        let view = self.view();
+        let Node { poll, deadlines, log, control, control_listeners, .. } = self;
+        let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut Vec::new(), log };
+        if let Owner::Control(key) = owner {
+            return control.ready(key, &view, &mut cx);
+        }
+        let listener = control_listeners.iter().find(|(kind, _)| control_token(*kind) == owner.token());
+        let Some((kind, listener)) = listener else { return };
+        // Any error ends this round: where descriptors are short, those who ask come back by themselves.
+        while let Ok((stream, _)) = listener.accept() {
+            control.accept(stream, *kind, &view, &mut cx);
+        }
+    }
+
     /// After the platform's windows: stops accepting, closes what is idle, and ends when nothing is open.
     fn look_at_end(&mut self, now: f64, heard: &mut Vec<Heard>) {
         self.listeners.clear();
@@ -331,6 +387,14 @@
     Owner::Fixed(number).token()
 }
 
+fn control_token(kind: Kind) -> mio::Token {
+    let number = match kind {
+        Kind::Http => HTTP_LISTENER,
+        Kind::Agent => AGENT_LISTENER,
+    };
+    Owner::Fixed(number).token()
+}
+
 fn millis(ms: f64) -> Duration {
     Duration::from_secs_f64((ms / 1000.0).clamp(0.0, 3600.0))
 }
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,168 @@
+//! What balancers and proxies are told, and the node as a process.
+
+#[path = "common/stage.rs"]
+mod stage;
+
+use beamgap::node::control::Kind;
+use stage::{config, Peer, Stage};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+
+const CONTROL: &str =
+    r#""listen":"127.0.0.1:0","control":{"http":"127.0.0.1:0","agent":"127.0.0.1:0","cluster":"boxes"},"#;
+
+/// Writes a text and gives all that comes until `end` or the close.
+fn ask(stage: &mut Stage, kind: Kind, text: &str, end: &str) -> String {
+    let address = stage.node.control_address(kind).unwrap();
+    let mut peer = Peer::new(TcpStream::connect(address).unwrap());
+    peer.push(text.as_bytes());
+    for _ in 0..5000 {
+        stage.turn();
+        peer.pull();
+        let got = String::from_utf8_lossy(&peer.input).into_owned();
+        if peer.closed || (!end.is_empty() && got.ends_with(end)) {
+            return got;
+        }
+    }
+    panic!("no answer to {text}");
+}
+
+fn get(stage: &mut Stage, path: &str) -> String {
+    ask(stage, Kind::Http, &format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"), "")
+}
+
+fn discover(stage: &mut Stage, body: &str) -> String {
+    let head = format!("POST /v3/discovery:endpoints HTTP/1.0\r\nContent-Length: {}\r\n\r\n", body.len());
+    ask(stage, Kind::Http, &(head + body), "")
+}
+
+#[test]
+fn health_and_agent_check_tell_whether_new_work_is_welcome() {
+    let mut stage = Stage::new(1, CONTROL);
+    assert!(get(&mut stage, "/health/live").starts_with("HTTP/1.1 200 OK\r\n"));
+    assert!(get(&mut stage, "/health/ready").ends_with("\r\n\r\nready\n"));
+    assert_eq!(ask(&mut stage, Kind::Agent, "", ""), "ready up 100%\n");
+    assert_eq!(ask(&mut stage, Kind::Agent, "who are you\n", ""), "ready up 100%\n");
+    stage.tell_of(0, "2 2");
+    assert!(get(&mut stage, "/health/ready").starts_with("HTTP/1.1 503 "));
+    assert!(ask(&mut stage, Kind::Agent, "", "").starts_with("down #"));
+    stage.tell_of(0, "3 0");
+    stage.node.end();
+    assert_eq!(ask(&mut stage, Kind::Agent, "", ""), "drain\n");
+    assert!(get(&mut stage, "/health/live").starts_with("HTTP/1.1 200 "));
+}
+
+#[test]
+fn http_is_kept_open_or_closed_as_asked_and_nonsense_is_told() {
+    let mut stage = Stage::new(1, CONTROL);
+    let two = "GET /health/live HTTP/1.1\r\n\r\nHEAD /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n";
+    let got = ask(&mut stage, Kind::Http, two, "");
+    assert_eq!((got.matches("HTTP/1.1 200").count(), got.matches("alive\n").count()), (2, 1));
+    assert!(got.ends_with("\r\n\r\n"), "a HEAD has no body");
+    assert!(get(&mut stage, "/other").starts_with("HTTP/1.1 404 "));
+    assert!(get(&mut stage, "/v3/discovery:endpoints").starts_with("HTTP/1.1 405 "));
+    let long = format!("GET / HTTP/1.1\r\nX: {}", "a".repeat(9000));
+    for (text, status) in [
+        ("\0\0\0\r\n\r\n", "400"),
+        ("POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "400"),
+        ("POST / HTTP/1.1\r\nContent-Length: 9999999\r\n\r\n", "413"),
+        ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "501"),
+        (&long, "431"),
+    ] {
+        let got = ask(&mut stage, Kind::Http, text, "");
+        assert!(got.starts_with(&format!("HTTP/1.1 {status} ")), "{status}: {got}");
+    }
+}
+
+#[test]
+fn xds_tells_the_engines_as_the_module_sees_them() {
+    let mut stage = Stage::new(2, CONTROL);
+    let first = discover(&mut stage, r#"{"resource_names":["boxes"]}"#);
+    assert!(first.starts_with("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"));
+    let healthy = |got: &str| got.matches(r#""health_status":"HEALTHY""#).count();
+    assert_eq!((healthy(&first), first.matches(r#""locality":{"zone":"a"}"#).count()), (2, 1));
+    for house in &stage.houses {
+        assert!(first.contains(&format!(r#""port_value":{}"#, house.address().port())));
+    }
+    assert!(first.contains(r#""version_info":"1""#) && first.contains(r#""load_balancing_weight":800"#));
+    let same = discover(&mut stage, r#"{"version_info":"1","resource_names":["boxes"]}"#);
+    assert!(same.starts_with("HTTP/1.1 304 "), "{same}");
+    stage.tell_of(1, "2 1");
+    let changed = discover(&mut stage, r#"{"version_info":"1","resource_names":["boxes"]}"#);
+    assert!(changed.contains(r#""version_info":"2""#) && changed.contains(r#""health_status":"DRAINING""#));
+    assert_eq!(healthy(&changed), 1);
+    assert!(discover(&mut stage, r#"{"resource_names":["others"]}"#).contains(r#""resources":[]"#));
+    assert!(discover(&mut stage, "{").starts_with("HTTP/1.1 400 "));
+    assert!(discover(&mut stage, r#"{"type_url":"x"}"#).starts_with("HTTP/1.1 404 "));
+}
+
+fn file(name: &str) -> std::path::PathBuf {
+    std::env::temp_dir().join(format!("beamgap-{name}-{}.json", std::process::id()))
+}
+
+/// Starts the program on a configuration, in a file of its own.
+fn start(name: &str, text: &str) -> Child {
+    let path = file(name);
+    std::fs::write(&path, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_beamgap"));
+    command.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").stderr(Stdio::piped());
+    command.spawn().expect("the program starts")
+}
+
+fn fails(name: &str, text: &str) -> String {
+    let output = start(name, text).wait_with_output().unwrap();
+    std::fs::remove_file(file(name)).unwrap();
+    assert!(!output.status.success(), "{name}: it should not start");
+    String::from_utf8(output.stderr).unwrap()
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_that_names_the_key() {
+    let nowhere: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let good = config(&[nowhere], nowhere, r#""listen":"127.0.0.1:0","#);
+    for (name, bad, key) in [
+        ("json", "{".to_owned(), "(file)"),
+        ("settings", r#"{"listen":"127.0.0.1:0"}"#.to_owned(), "settings"),
+        ("listen", good.replace(r#""listen":"127.0.0.1:0""#, r#""listen":"here""#), "listen"),
+        ("absent", good.replace(r#""listen":"127.0.0.1:0","#, ""), "listen"),
+        ("seed", good.replace(r#""seed":"1f""#, r#""seed":"no""#), "seed"),
+        ("sockets", good.replace(r#""sockets":1024"#, r#""sockets":-1"#), "limits.sockets"),
+        ("class", good.replace(r#""HardLimit":2500,"#, r#""HardLimit":"x","#), "Classes.0.HardLimit"),
+        ("state", good.replace("in_service", "asleep"), "known.items[0].roster.targets[0].state"),
+        (
+            "mysql",
+            good.replace(r#""seed""#, r#""mysql":{"listen":"127.0.0.1:0"},"seed""#),
+            "mysql.default_class",
+        ),
+        ("control", good.replace(r#""seed""#, r#""control":{"http":7},"seed""#), "control.http"),
+    ] {
+        let told = fails(name, &bad);
+        assert!(told.contains(key) && told.lines().count() == 1, "{name}: {told}");
+    }
+}
+
+#[test]
+fn a_sigterm_lets_the_program_finish_and_exit_well() {
+    let nowhere: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let mut child = start("term", &config(&[nowhere], nowhere, r#""listen":"127.0.0.1:0","#));
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    while !line.contains("listen: front=JsonRpc") {
+        line.clear();
+        assert_ne!(log.read_line(&mut line).unwrap(), 0, "it ended before it listened");
+    }
+    let address = line.trim().rsplit_once("address=").unwrap().1;
+    let mut client = TcpStream::connect(address).unwrap();
+    let alive = r#"{"jsonrpc":"2.0","id":1,"method":"alive"}"#;
+    write!(client, "Content-Length: {}\r\n\r\n{alive}", alive.len()).unwrap();
+    let mut head = String::new();
+    BufReader::new(&client).read_line(&mut head).unwrap();
+    assert!(head.starts_with("Content-Length: "), "{head}");
+    let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(killed.success() && child.wait().unwrap().success());
+    std::fs::remove_file(file("term")).unwrap();
+    let mut rest = String::new();
+    log.read_to_string(&mut rest).unwrap();
+    assert!(rest.contains("n0 ending: open=0"), "{rest}");
+}
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -243,7 +243,8 @@
     let mut raw = Raw::login(&mut boxes);
     raw.send(0, b"\x16insert into s_3.t values (?)");
     assert_eq!(raw.next(&mut boxes)[..7], [0, 1, 0, 0, 0, 0, 0]);
-    (raw.next(&mut boxes), raw.next(&mut boxes)); // The parameter and the end of the list.
+    raw.next(&mut boxes); // The parameter,
+    raw.next(&mut boxes); // and the end of the list.
     let execute = b"\x17\x01\0\0\0\0\x01\0\0\0\0\x01\xfd\0";
     raw.send(0, b"\x18\x01\0\0\0\0\0gone");
     raw.send(0, b"\x1a\x01\0\0\0");
