Bound what clients can make the node keep; say nothing to notifications; log bad messages

Saw, on reading: 400 clients with a megabyte half sent each would pass the memory limit (front/jsonrpc.rs bounded unwritten answers only), likewise kept statements of MySQL sessions; and a cancelRequest without a usable id was answered though nobody asked. Also the number of the last event under known.no was not used. After: the heaviest client goes past a quarter of the memory (a test with 60 of them), notifications get no answer.

--- a/src/node/backend/warehouse.rs
+++ b/src/node/backend/warehouse.rs
@@ -20,7 +20,7 @@
 const LINE_MOST: usize = 4096; // longer without an end, the framing is lost
 const BODY_MOST: usize = 64 * 1024; // a page has 6,000 bytes at most
 const PAGES_MOST: usize = 1024; // likewise: a result has 48,000 bytes at most
-const RESULT_MOST: usize = 1 << 20; // all pages of one result
+const RESULT_MOST: usize = 256 * 1024; // likewise, with room
 const SPENT_MOST: usize = 512; // names given up on one connection; beyond, it is left to run dry
 const LINKS_MOST: usize = 8; // connections to one warehouse
 
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -58,6 +58,8 @@
     pub bulletin: Option<SocketAddr>,
     /// The news of the start.
     pub known: Vec<News>,
+    /// The number of the last event that the news of the start covers.
+    pub last: u64,
     /// What the decision module is told.
     pub settings: Settings,
     /// Names of zones and machine kinds, as the bulletin counts them.
@@ -186,6 +188,7 @@
             memory_mb: limit("memory_mb", MEMORY_MB)?,
             bulletin,
             known: Vec::new(),
+            last: 0,
             settings,
             zones,
             dial_ms: figure(&pairs, "Limits.DialTimeout", DIAL_MS)?,
@@ -204,10 +207,11 @@
                 config.settings.kinds.push(crate::KindSettings { name: kind, cores: None, memory_mb: None });
             }
         }
-        config.known = match root.get("known") {
-            Some(known) => read_known(known)?,
-            None => Vec::new(),
-        };
+        if let Some(known) = root.get("known") {
+            config.known = read_known(known)?;
+            let last = config.known.iter().map(|news| news.number).max().unwrap_or(0);
+            config.last = last.max(known.get("no").and_then(|no| no.as_u64()).unwrap_or(0));
+        }
         Ok(config)
     }
 
--- a/src/node/front/jsonrpc.rs
+++ b/src/node/front/jsonrpc.rs
@@ -18,6 +18,7 @@
 const OPEN_MOST: usize = 32; // requests on one connection, as the platform promises
 const OUT_HIGH: usize = 256 * 1024; // unwritten answers past which nothing more is read from a client
 const OUT_MOST: usize = 4 << 20; // and past which a client that reads nothing is let go: 32 whole results
+const CLIENT_LIGHT: usize = 32 * 1024; // bytes of one client that call for no look at all of them
 const NAME_MOST: usize = 64; // a name goes onto other wires: short, and of plain characters
 
 const PARSE: (i32, &str) = (-32700, "Parse error");
@@ -35,12 +36,18 @@
     ended: bool,
 }
 
+impl Client {
+    fn weight(&self) -> usize {
+        self.link.waiting() + self.link.input.len()
+    }
+}
+
 /// The clients of the platform's front.
 pub struct JsonRpc {
     clients: Slots<Client>,
     classes: HashMap<String, ClassId>,
     tenants: HashMap<String, Arc<str>>,
-    out_total_most: usize,
+    total_most: usize,
 }
 
 /// A message as far as the framing tells.
@@ -83,20 +90,20 @@
     Alive(u64),
     Cancel(u64),
     Run(u64, Box<Ask>),
-    /// A notification that nothing is known of: no answer is owed.
-    Nothing,
+    /// A notification that tells nothing: no answer is owed, not even an error.
+    Nothing(&'static str),
 }
 
 /// An error for the client: its request's number, if that could be read, and what is wrong.
 type Wrong = (Option<u64>, (i32, &'static str), &'static str);
 
 impl JsonRpc {
-    /// A front without clients. All unwritten answers together are bounded by `out_total_most` bytes.
-    pub fn new(settings: &Settings, out_total_most: usize) -> JsonRpc {
+    /// A front without clients. What waits on all its connections is bounded by `total_most` bytes.
+    pub fn new(settings: &Settings, total_most: usize) -> JsonRpc {
         let classes =
             settings.classes.iter().enumerate().map(|(i, c)| (c.name.clone(), ClassId(i))).collect();
         let tenants = settings.tenants.iter().map(|t| (t.name.clone(), Arc::from(&*t.name))).collect();
-        JsonRpc { clients: Slots::default(), classes, tenants, out_total_most }
+        JsonRpc { clients: Slots::default(), classes, tenants, total_most }
     }
 
     /// Connected clients.
@@ -169,6 +176,9 @@
             }
         }
         self.settle(key, cx);
+        if self.clients.get(key).is_some_and(|client| client.weight() > CLIENT_LIGHT) {
+            self.bound_total(cx);
+        }
     }
 
     /// Writes what waits; lets a client go that has closed, or that takes nothing of what it is owed.
@@ -191,7 +201,7 @@
         let asked = self.read(key, message, sent);
         let Some(client) = self.clients.get_mut(key) else { return };
         match asked {
-            Ok(Asked::Nothing) => {}
+            Ok(Asked::Nothing(why)) => cx.log.push(format!("bad message: {why}")),
             Ok(Asked::Alive(id)) => {
                 put(&mut client.link, &format!(r#"{{"jsonrpc":"2.0","id":{id},"result":{{"pass":true}}}}"#));
             }
@@ -205,6 +215,7 @@
                 cx.heard.push(Heard::Asked(*ask));
             }
             Err((id, (code, name), why)) => {
+                cx.log.push(format!("bad message: code={code} {why}"));
                 let id = id.map_or("null".to_owned(), |id| id.to_string());
                 let message = json::quoted(&format!("{name}: {why}"));
                 let error = format!(r#"{{"code":{code},"message":{message}}}"#);
@@ -225,18 +236,19 @@
         };
         let params = value.get("params");
         let param = |name: &str| params.and_then(|p| p.get(name));
+        let notifies = value.get("id").is_none();
         if method == "cancelRequest" {
-            return match param("id").and_then(|id| id.as_u64()) {
+            let place = || params.and_then(|p| p.as_array()).and_then(|list| list.first());
+            return match param("id").or_else(place).and_then(|id| id.as_u64()) {
                 Some(id) => Ok(Asked::Cancel(id)),
+                None if notifies => Ok(Asked::Nothing("cancelRequest without an id")),
                 None => wrong(PARAMS, "id is not a number"),
             };
         }
-        let Some(id) = number else {
-            return match value.get("id") {
-                None => Ok(Asked::Nothing),
-                Some(_) => wrong(INVALID, "id is not a number from 1"),
-            };
-        };
+        if notifies {
+            return Ok(Asked::Nothing("not a known notification"));
+        }
+        let Some(id) = number else { return wrong(INVALID, "id is not a number from 1") };
         if method == "alive" {
             return Ok(Asked::Alive(id));
         }
@@ -314,10 +326,10 @@
         self.bound_total(cx);
     }
 
-    /// Guards the memory limit against many clients that take nothing: the one owed most is let go.
+    /// Guards the memory limit against many clients that take nothing or never end a message: the heaviest goes.
     fn bound_total(&mut self, cx: &mut Cx) {
-        let (total, most) = heaviest(self.clients.iter().map(|(key, c)| (c.link.waiting(), key)));
-        if let Some(key) = most.filter(|_| total > self.out_total_most) {
+        let (total, most) = heaviest(self.clients.iter().map(|(key, c)| (c.weight(), key)));
+        if let Some(key) = most.filter(|_| total > self.total_most) {
             cx.log.push(format!("slow client: closed, bytes={total}"));
             self.close(key, cx);
         }
--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -30,6 +30,7 @@
 const LOGIN_MS: f64 = 10_000.0; // from connecting to the end of the login, as MySQL's connect_timeout
 const STATEMENTS_MOST: usize = 256; // prepared at one time in one session
 const SESSION_MOST: usize = 2 << 20; // bytes of their texts and long values
+const SESSION_LIGHT: usize = 32 * 1024; // bytes of one session that call for no look at all of them
 const PARAMETERS_MOST: usize = 65_535; // the wire counts them in 16 bits
 const OUT_HIGH: usize = 256 * 1024; // unwritten bytes past which no further command is taken
 const PLUGIN: &[u8] = b"mysql_native_password";
@@ -96,6 +97,9 @@
 }
 
 impl Session {
+    fn weight(&self) -> usize {
+        self.link.waiting() + self.link.input.len() + self.bytes()
+    }
     fn bytes(&self) -> usize {
         let long = |s: &Statement| s.long.values().map(Vec::len).sum::<usize>();
         self.statements.values().map(|s| s.text.len() + s.types.len() + long(s)).sum()
@@ -116,14 +120,14 @@
     classes: Vec<(Repeat, f64)>,
     sessions: Slots<Session>,
     connections: u32,
-    out_total_most: usize,
+    total_most: usize,
 }
 
 impl MysqlFront {
-    /// A front without clients. All unwritten answers together are bounded by `out_total_most` bytes.
-    pub fn new(settings: MysqlSettings, module: &Settings, out_total_most: usize) -> MysqlFront {
+    /// A front without clients. What waits and is kept in all sessions is bounded by `total_most` bytes.
+    pub fn new(settings: MysqlSettings, module: &Settings, total_most: usize) -> MysqlFront {
         let classes = module.classes.iter().map(|c| (c.repeat, c.deadline.as_millis())).collect();
-        MysqlFront { settings, classes, sessions: Slots::default(), connections: 0, out_total_most }
+        MysqlFront { settings, classes, sessions: Slots::default(), connections: 0, total_most }
     }
 
     /// Connected clients.
@@ -225,9 +229,12 @@
                 return self.close(key, cx);
             }
             if !more {
-                return;
+                break;
             }
         }
+        if self.sessions.get(key).is_some_and(|session| session.weight() > SESSION_LIGHT) {
+            self.bound_total(cx);
+        }
     }
 
     /// Writes what it can of the last word, and closes.
@@ -439,8 +446,12 @@
             Answer::Failed => session.wrong(number, FAILED),
         }
         self.ready(asker.conn, cx);
-        let (total, most) = heaviest(self.sessions.iter().map(|(key, s)| (s.link.waiting(), key)));
-        if let Some(key) = most.filter(|_| total > self.out_total_most) {
+    }
+
+    /// Guards the memory limit against many sessions that take nothing or keep much: the heaviest goes.
+    fn bound_total(&mut self, cx: &mut Cx) {
+        let (total, most) = heaviest(self.sessions.iter().map(|(key, s)| (s.weight(), key)));
+        if let Some(key) = most.filter(|_| total > self.total_most) {
             cx.log.push(format!("slow client: closed, bytes={total}"));
             self.close(key, cx);
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -93,7 +93,6 @@
         let warehouses =
             Warehouses::new(names, config.dial_ms, config.idle_ms, config.streams, backend_sockets);
         let kinds = config.settings.kinds.iter().map(|k| k.name.clone()).collect();
-        let last = config.known.iter().map(|news| news.number).max().unwrap_or(0);
         let out_most = (config.memory_mb * 1048576.0 / 4.0) as usize;
         let jsonrpc = JsonRpc::new(&config.settings, out_most);
         let mysql = config.mysql.map(|mysql| {
@@ -103,7 +102,8 @@
         });
         let exchange = Exchange::new(config.settings, config.seed, config.open_most, out_most)
             .map_err(io::Error::other)?;
-        let bulletin = config.bulletin.map(|address| Bulletin::new(address, config.zones, kinds, last));
+        let bulletin =
+            config.bulletin.map(|address| Bulletin::new(address, config.zones, kinds, config.last));
         let mut node = Node {
             clock,
             poll,
--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -53,7 +53,17 @@
         }
     }
     pub fn push(&mut self, bytes: &[u8]) {
-        self.stream.write_all(bytes).expect("the other side reads");
+        self.push_while(bytes, || {});
+    }
+    /// Writes all, letting the other side work where it must read first. What has been closed takes nothing.
+    fn push_while(&mut self, mut bytes: &[u8], mut work: impl FnMut()) {
+        while !bytes.is_empty() {
+            match self.stream.write(bytes) {
+                Ok(n) => bytes = &bytes[n..],
+                Err(e) if e.kind() == ErrorKind::WouldBlock => work(),
+                Err(_) => return,
+            }
+        }
     }
     /// The next line, with its body if the last word is a length.
     fn line(&mut self) -> Option<String> {
@@ -235,7 +245,11 @@
         let peer = self.clients.entry(client.to_owned()).or_insert_with(connect);
         let words: Vec<&str> = text.splitn(5, ' ').collect();
         let message = match words[..] {
-            ["raw", ..] => return peer.push(text[4..].replace("\\r", "\r").as_bytes()),
+            ["raw", ..] => {
+                let bytes = text[4..].replace("\\r", "\r").into_bytes();
+                let node = &mut self.node;
+                return peer.push_while(&bytes, || node.turn(Duration::from_millis(1)).unwrap());
+            }
             ["ask", id, class, budget, statement] => {
                 let doc = BASE64_STANDARD.encode(statement);
                 format!(
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -3,6 +3,7 @@
 #[path = "common/stage.rs"]
 mod stage;
 
+use beamgap::node::config::Config;
 use beamgap::node::control::Kind;
 use stage::{config, Peer, Stage};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -142,6 +143,16 @@
     }
 }
 
+#[test]
+fn the_operators_example_is_a_good_configuration() {
+    let text = include_bytes!("../deploy/operator.example.json").to_vec();
+    let config = Config::read(text.clone(), &|_| Some("secret".to_owned())).unwrap();
+    let mysql = config.mysql.expect("the MySQL front is on");
+    assert!(config.listen.is_none() && mysql.accounts.len() == 2 && mysql.rules.len() == 3);
+    let error = Config::read(text, &|_| None).err().expect("passwords come from the environment");
+    assert_eq!(error.key, "mysql.accounts[0].password_env");
+}
+
 #[test]
 fn a_sigterm_lets_the_program_finish_and_exit_well() {
     let nowhere: SocketAddr = "127.0.0.1:9".parse().unwrap();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -192,6 +192,9 @@
         c1 send {"jsonrpc":"2.0","id":7,"method":"lookup","params":{"rid":"ab","budget":5,"doc":"?"}}
         c1 expect 7 error -32602
         c1 send {"jsonrpc":"2.0","method":"some-notification"}
+        c1 send {"jsonrpc":"2.0","method":"cancelRequest","params":{"id":"x"}}
+        c1 send {"jsonrpc":"2.0","id":9,"method":"cancelRequest","params":{"id":"x"}}
+        c1 expect 9 error -32602
         c1 send ask 8 lookup 2500 select 1 from s_1.t
         c1 send ask 8 lookup 2500 select 1 from s_1.t
         c1 expect 8 error -32600
@@ -236,3 +239,19 @@
         c1 expect 1 error -32010",
     );
 }
+
+#[test]
+fn clients_that_never_end_a_message_are_let_go_before_memory_is_short() {
+    // Guards against many clients that each send most of a long message and then nothing: 48 MB for all of them.
+    let mut stage = Stage::new(1, r#""listen":"127.0.0.1:0","#);
+    let part = format!("raw Content-Length: 1048576\\r\\n\\r\\n{}", "x".repeat(1_000_000));
+    for client in 0..60 {
+        stage.go(&format!("c{client} send {part}"));
+    }
+    stage.expect("a log line of the close", |stage| {
+        stage.turn();
+        stage.node.take_log().iter().any(|line| line.starts_with("slow client"))
+    });
+    stage.go(r#"last send {"jsonrpc":"2.0","id":1,"method":"alive"}
+        last expect {"jsonrpc":"2.0","id":1,"result":{"pass":true}}"#);
+}
