Spoil messages and answers at random, the same in every run: nothing brings the node down

Checked: 1,200 spoiled messages from clients and 400 spoiled answers from warehouses; the node still answers.

--- a/tests/node.rs
+++ b/tests/node.rs
@@ -274,3 +274,61 @@
     stage.go(r#"last send {"jsonrpc":"2.0","id":1,"method":"alive"}
         last expect {"jsonrpc":"2.0","id":1,"result":{"pass":true}}"#);
 }
+
+/// Cuts, doubles and changes bytes, the same way in every run.
+fn spoil(bytes: &[u8], seed: &mut u64) -> Vec<u8> {
+    let mut draw = |below: usize| {
+        *seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (*seed >> 33) as usize % below.max(1)
+    };
+    let mut out = bytes.to_vec();
+    for _ in 0..1 + draw(4) {
+        let at = draw(out.len());
+        match draw(4) {
+            0 => out.truncate(at),
+            1 => out.extend_from_within(at..),
+            2 => out.insert(at.min(out.len()), draw(256) as u8),
+            _ => out.iter_mut().skip(at).take(1).for_each(|byte| *byte = draw(256) as u8),
+        }
+    }
+    out
+}
+
+#[test]
+fn no_bytes_of_a_client_or_a_warehouse_bring_the_node_down() {
+    // Guards against input that panics: spoiled messages from clients, spoiled answers from warehouses.
+    let mut seed = 7;
+    let mut stage = Stage::new(1, r#""listen":"127.0.0.1:0","#);
+    let address = stage.node.address(beamgap::node::exchange::Front::JsonRpc).unwrap();
+    let body = r#"{"jsonrpc":"2.0","id":3,"method":"lookup","params":{"rid":"ab12","budget":900,"acct":"x",
+        "est":1e3,"memory":2,"doc":"c2VsZWN0IDEgZnJvbSBzXzEudA=="}}"#;
+    let good = format!("Content-Length: {}\r\n\r\n{body}", body.len());
+    for _ in 0..600 {
+        let framed = spoil(good.as_bytes(), &mut seed);
+        let inner = spoil(body.as_bytes(), &mut seed);
+        let whole = [format!("Content-Length: {}\r\n\r\n", inner.len()).as_bytes(), &inner].concat();
+        for bytes in [framed, whole] {
+            let mut peer = stage::Peer::new(std::net::TcpStream::connect(address).unwrap());
+            peer.push(&bytes);
+            stage.turn();
+        }
+    }
+    let answers = [
+        "served pages=3,cost=1.5,need=2,report=inflight:1 2\r\nab\r\n",
+        "update remark=so_far,v=0.5 0\r\n\r\n",
+    ];
+    for round in 0..400u64 {
+        stage.go(&format!("c{round} send ask 1 lookup 2500 select 1 from s_1.t"));
+        (0..4).for_each(|_| stage.turn());
+        stage.clock.set(stage.clock.now() + 300.0);
+        for peer in &mut stage.houses[0].conns {
+            let line = format!("c{round}-1 {}c{round}-1 rows page=9 1\r\nx\r\n", answers[round as usize % 2]);
+            peer.push(&spoil(line.as_bytes(), &mut seed));
+        }
+        stage.houses[0].conns.retain(|peer| !peer.closed);
+        stage.turn();
+        stage.go(&format!("c{round} close"));
+    }
+    stage.go(r#"end send {"jsonrpc":"2.0","id":1,"method":"alive"}
+        end expect {"jsonrpc":"2.0","id":1,"result":{"pass":true}}"#);
+}
