Make the drain tests wait for the news itself: the verdict held only on several cores

Saw: on one core a_prepared_statement_goes_on... failed three times of three: an execution sent before the news was read was logged after it and counted against the drain (tests/mysql.rs); the node had not erred. Ruled out: a send after the news; nothing reaches a box once the node's log has the event. After: the stage waits for the log line of the event, and what was sent before is run first.

--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -319,7 +319,11 @@
         frame.push(2);
         frame.extend(record);
         self.list.conns.last_mut().unwrap().push(&frame);
-        (0..20).for_each(|_| self.turn());
+        let told = format!("list: no={number} ");
+        self.expect(&told, |stage| {
+            stage.turn();
+            stage.node.take_log().iter().any(|line| line.starts_with(&told))
+        });
     }
 }
 
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -74,6 +74,7 @@
             if drained.len() < 3 && boxes.runs.len() >= 15 * (drained.len() + 1) {
                 let house = boxes.runs.last().unwrap().house;
                 boxes.stage.tell_of(house, &format!("{} 1", drained.len() + 2));
+                boxes.turn(); // What was sent before the news is run now, and does not count.
                 drained.push((house, boxes.runs.len()));
             }
         },
