--- a/tests/control.rs
+++ b/tests/control.rs
@@ -7,7 +7,7 @@
 use beamgap::node::control::Kind;
 use stage::{config, Peer, Stage};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 
 const CONTROL: &str =
@@ -154,26 +154,49 @@
 }
 
 #[test]
-fn a_sigterm_lets_the_program_finish_and_exit_well() {
+fn a_sigterm_lets_the_program_answer_all_and_exit_well() {
+    // Guards a planned restart: what is open is finished, and who connects just after the signal is served too.
+    let warehouse = TcpListener::bind("127.0.0.1:0").unwrap();
     let nowhere: SocketAddr = "127.0.0.1:9".parse().unwrap();
-    let mut child = start("term", &config(&[nowhere], nowhere, r#""listen":"127.0.0.1:0","#));
+    let engines = [warehouse.local_addr().unwrap()];
+    let mut child = start("term", &config(&engines, nowhere, r#""listen":"127.0.0.1:0","#));
     let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    while !line.contains("listen: front=JsonRpc") {
-        line.clear();
-        assert_ne!(log.read_line(&mut line).unwrap(), 0, "it ended before it listened");
-    }
-    let address = line.trim().rsplit_once("address=").unwrap().1;
-    let mut client = TcpStream::connect(address).unwrap();
-    let alive = r#"{"jsonrpc":"2.0","id":1,"method":"alive"}"#;
-    write!(client, "Content-Length: {}\r\n\r\n{alive}", alive.len()).unwrap();
-    let mut head = String::new();
-    BufReader::new(&client).read_line(&mut head).unwrap();
-    assert!(head.starts_with("Content-Length: "), "{head}");
+    let mut until = |what: &str| loop {
+        let mut line = String::new();
+        assert_ne!(log.read_line(&mut line).unwrap(), 0, "it ended before: {what}");
+        if line.contains(what) {
+            return line;
+        }
+    };
+    let address = until("listen: front=JsonRpc").trim().rsplit_once("address=").unwrap().1.to_owned();
+    let ask = |stream: &mut TcpStream, body: &str| {
+        write!(stream, "Content-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    };
+    let answer = |stream: TcpStream| {
+        let (mut reader, mut head, mut empty) = (BufReader::new(stream), String::new(), String::new());
+        reader.read_line(&mut head).unwrap();
+        reader.read_line(&mut empty).unwrap();
+        let mut body = vec![0; head.trim().strip_prefix("Content-Length: ").unwrap().parse().unwrap()];
+        reader.read_exact(&mut body).unwrap();
+        String::from_utf8(body).unwrap()
+    };
+    let mut client = TcpStream::connect(&address).unwrap();
+    ask(
+        &mut client,
+        r#"{"jsonrpc":"2.0","id":1,"method":"delivery-load","params":{"rid":"ab","budget":25000,"doc":"eA=="}}"#,
+    );
+    let (mut box_side, _) = warehouse.accept().unwrap();
+    let mut want = String::new();
+    BufReader::new(box_side.try_clone().unwrap()).read_line(&mut want).unwrap();
+    assert!(want.starts_with("want ab profile=delivery-load,"), "{want}");
     let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
-    assert!(killed.success() && child.wait().unwrap().success());
+    assert!(killed.success());
+    until("n0 ending: open=1");
+    let mut late = TcpStream::connect(&address).unwrap();
+    ask(&mut late, r#"{"jsonrpc":"2.0","id":1,"method":"alive"}"#);
+    assert_eq!(answer(late), r#"{"jsonrpc":"2.0","id":1,"result":{"pass":true}}"#);
+    box_side.write_all(b"ab served pages=1 1\r\nx\r\n").unwrap();
+    assert_eq!(answer(client), r#"{"jsonrpc":"2.0","id":1,"result":{"doc":"eA=="}}"#);
+    assert!(child.wait().unwrap().success());
     std::fs::remove_file(file("term")).unwrap();
-    let mut rest = String::new();
-    log.read_to_string(&mut rest).unwrap();
-    assert!(rest.contains("n0 ending: open=0"), "{rest}");
 }
