Reread the configuration on SIGHUP and follow a bulletin that moves

Cause: src/main.rs registered SIGTERM only; SIGHUP's default action ends a process. Ruled out: the exit came with the signal, before any new bulletin address could be dialled, so neither bulletin nor exchange had a part. Change: a thread reads the file on SIGHUP, the node takes the bulletin's address and events from it, names what needs a restart, and keeps all as it was where the file can't be used. A silent bulletin is left after two missed frames instead of three, since after a stop news counts as told in 4 s.

--- a/src/node/bulletin.rs
+++ b/src/node/bulletin.rs
@@ -2,14 +2,14 @@
 //! connection: a silent one is dropped, and the next goes on from the last number had.
 
 use super::clock::to_micros;
-use super::deadlines::{Deadlines, Wake};
+use super::deadlines::{Deadlines, Handle, Wake};
 use super::reactor::{Link, Owner, ReadEnd};
 use crate::{EngineId, ListKind, Member, MemberState};
 use mio::Registry;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
-const SILENT_MS: f64 = 3000.0; // an empty frame comes each second; three missed are a dead connection
+const SILENT_MS: f64 = 2300.0; // an empty frame comes each second; two missed are a dead connection
 const AGAIN_MS: f64 = 200.0; // between two tries to connect: news is owed within seconds
 const LOOK_MS: f64 = 500.0; // between looks at a connection that stands
 const RECORD: usize = 27;
@@ -107,12 +107,14 @@
     greeted: bool,
     generation: u32,
     heard: f64,
+    next_look: Option<Handle>,
 }
 
 impl Bulletin {
     /// A bulletin not yet connected to; `last` is the number of the last event had.
     pub fn new(address: SocketAddr, zones: Vec<String>, kinds: Vec<String>, last: u64) -> Bulletin {
-        Bulletin { address, zones, kinds, last, link: None, greeted: false, generation: 0, heard: 0.0 }
+        let (link, greeted, generation, heard, next_look) = (None, false, 0, 0.0, None);
+        Bulletin { address, zones, kinds, last, link, greeted, generation, heard, next_look }
     }
 
     /// Connects where there is no connection, drops one that has fallen silent, and comes back.
@@ -127,7 +129,36 @@
                 .and_then(|mut link| link.watch(registry, Owner::Bulletin(self.generation)).map(|()| link))
                 .ok();
         }
-        deadlines.set(now + if self.greeted { LOOK_MS } else { AGAIN_MS }, Wake::Bulletin);
+        self.look_in(now, if self.greeted { LOOK_MS } else { AGAIN_MS }, deadlines);
+    }
+
+    /// Sets the one look to come: a second chain of looks would drop what the first has just dialled.
+    fn look_in(&mut self, now: f64, ms: f64, deadlines: &mut Deadlines) {
+        self.next_look.take().into_iter().for_each(|before| deadlines.clear(before));
+        self.next_look = Some(deadlines.set(now + ms, Wake::Bulletin));
+    }
+
+    /// The bulletin has moved: the old connection is dropped, the new address dialled at once, and the news go on
+    /// from the last number had. Gives the events of `known` that are new; the rest are out of date.
+    pub fn moved(
+        &mut self,
+        now: f64,
+        address: SocketAddr,
+        known: Vec<News>,
+        deadlines: &mut Deadlines,
+    ) -> Vec<News> {
+        if address != self.address {
+            (self.address, self.link) = (address, None);
+            self.look_in(now, 0.0, deadlines);
+        }
+        known.into_iter().filter_map(|news| self.take(news)).collect()
+    }
+
+    /// Lets an event through once: what comes twice or out of date is told by its number.
+    fn take(&mut self, news: News) -> Option<News> {
+        let new = news.number > self.last;
+        self.last = self.last.max(news.number);
+        Some(news).filter(|_| new)
     }
 
     /// The socket has something to say: gives the events that came.
@@ -151,21 +182,22 @@
             (self.greeted, self.heard) = (true, now);
         }
         link.flush().ok()?;
-        let end = loop {
+        let mut taken = Vec::new();
+        let mut step = || loop {
             let end = link.read(FRAME_MOST + 16);
             while let Some((used, event)) = frame(&link.input, &self.zones, &self.kinds).ok()? {
                 link.used(used);
                 self.heard = now;
-                if let Some(event) = event.filter(|event| event.number > self.last) {
-                    self.last = event.number;
-                    news.push(event);
-                }
+                taken.extend(event);
             }
             if !link.has_more() {
-                break end;
+                return end.ok().filter(|end| *end == ReadEnd::Open).map(|_| ());
             }
         };
-        end.ok().filter(|end| *end == ReadEnd::Open).map(|_| ())
+        let end = step();
+        // What came whole before a break or a bad frame counts all the same.
+        news.extend(taken.into_iter().filter_map(|event| self.take(event)));
+        end
     }
 }
 
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -4,7 +4,7 @@
 use super::json::{self, *};
 use crate::settings::settings as read_settings;
 use crate::{ClassId, EngineId, ListKind, Member, MemberState, Micros, Repeat, Settings};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -76,6 +76,8 @@
     pub mysql: Option<MysqlSettings>,
     /// Where balancers and proxies ask; nowhere unless an operator's file says so.
     pub control: ControlSettings,
+    /// The file's keys that count at the start only, to see on a reload which of them have changed.
+    pub at_start: BTreeMap<String, OwnedValue>,
 }
 
 /// Where balancers and proxies ask.
@@ -197,6 +199,7 @@
             open_most: figure(&pairs, "Limits.MaxOpen", OPEN_MOST)?.max(1.0) as usize,
             mysql,
             control: read_control(&root)?,
+            at_start: at_start(&root),
         };
         if config.sockets < 32 {
             return wrong("limits.sockets", "is under 32, too few to serve with");
@@ -221,6 +224,13 @@
     }
 }
 
+/// All that a reload does not apply: it takes the bulletin's address and events, and nothing else.
+fn at_start(root: &OwnedValue) -> BTreeMap<String, OwnedValue> {
+    let keys = root.as_object().into_iter().flatten();
+    let kept = keys.filter(|(key, _)| !matches!(key.as_str(), "bulletin" | "known"));
+    kept.map(|(key, value)| (key.clone(), value.clone())).collect()
+}
+
 /// Nested JSON to the flat pairs of the simulator's wire.
 fn flatten(value: &OwnedValue, path: &str, pairs: &mut HashMap<String, String>) {
     let at = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -22,15 +22,17 @@
 use backend::Cx;
 use bulletin::{Bulletin, News};
 use clock::Clock;
-use config::Config;
+use config::{Config, ConfigError};
 use control::{Control, Kind, View};
 use deadlines::{Deadlines, Wake};
 use exchange::{AttemptRef, Exchange, Front, Heard, Order};
 use front::jsonrpc::JsonRpc;
 use front::mysql::MysqlFront;
+use json::OwnedValue;
 use mio::net::TcpListener;
-use mio::{Events, Interest, Poll};
+use mio::{Events, Interest, Poll, Waker};
 use reactor::Owner;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,6 +46,7 @@
 const HTTP_LISTENER: u32 = 3;
 const AGENT_LISTENER: u32 = 4;
 const SIGNAL: u32 = 0;
+const RELOAD: u32 = 5;
 
 /// The node with all its parts.
 pub struct Node {
@@ -61,6 +64,8 @@
     bulletin: Option<Bulletin>,
     control: Control,
     control_listeners: Vec<(Kind, TcpListener)>,
+    /// What the file said at the start of all that a reload does not apply.
+    at_start: BTreeMap<String, OwnedValue>,
     ending: Option<f64>,
     ended: bool,
     log: Vec<String>,
@@ -119,6 +124,7 @@
             bulletin,
             control: Control::new(config.control.cluster),
             control_listeners,
+            at_start: config.at_start,
             ending: None,
             ended: false,
             log: Vec::new(),
@@ -155,6 +161,35 @@
         self.poll.registry().register(stream, Owner::Fixed(SIGNAL).token(), Interest::READABLE)
     }
 
+    /// Ends a wait for sockets from another thread, so that a configuration read there is taken in at once.
+    pub fn waker(&self) -> io::Result<Waker> {
+        Waker::new(self.poll.registry(), Owner::Fixed(RELOAD).token())
+    }
+
+    /// Takes in a configuration that was read anew: the bulletin's address and events. What is open goes on as it
+    /// is. Of a file that can't be used nothing is taken, and what counts at the start only is named.
+    pub fn reload(&mut self, read: Result<Config, ConfigError>) {
+        let config = match read {
+            Ok(config) => config,
+            Err(e) => return self.log.push(format!("reload: {e}; the old settings stay")),
+        };
+        self.log.push("reload: done".to_owned());
+        let keys = self.at_start.keys().chain(config.at_start.keys()).collect::<BTreeSet<_>>();
+        let changed = keys.into_iter().filter(|key| self.at_start.get(*key) != config.at_start.get(*key));
+        self.log.extend(changed.map(|key| format!("reload: {key} has changed: needs a restart")));
+        let now = self.clock.now();
+        let news = match (&mut self.bulletin, config.bulletin) {
+            (Some(bulletin), Some(address)) => {
+                bulletin.moved(now, address, config.known, &mut self.deadlines)
+            }
+            (None, None) => return,
+            _ => return self.log.push("reload: bulletin has come or gone: needs a restart".to_owned()),
+        };
+        let mut heard = Vec::new();
+        self.news(news, &mut heard);
+        self.settle(heard);
+    }
+
     /// Begins a planned end: goes on accepting and answering for a while, then finishes what is open.
     pub fn end(&mut self) {
         if self.ending.is_none() {
@@ -214,6 +249,7 @@
         let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log };
         match owner {
             Owner::Fixed(SIGNAL) => self.end(),
+            Owner::Fixed(RELOAD) => {} // Only ends the wait.
             Owner::Fixed(LISTENER) => self.accept(Front::JsonRpc, now, sent, &mut heard),
             Owner::Fixed(_) => self.accept(Front::Mysql, now, sent, &mut heard),
             Owner::JsonRpc(key) => jsonrpc.ready(key, sent, &mut cx),
--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -163,13 +163,22 @@
     )
 }
 
+fn configured(houses: &[House], list: &House, more: &str) -> String {
+    let engines: Vec<SocketAddr> = houses.iter().map(House::address).collect();
+    config(&engines, list.address(), more)
+}
+
 impl Stage {
+    /// The configuration of this stage's node.
+    pub fn config(&self, more: &str) -> String {
+        configured(&self.houses, &self.list, more)
+    }
+
     /// A node with so many warehouses; `more` goes into its configuration.
     pub fn new(warehouses: usize, more: &str) -> Stage {
         let houses: Vec<House> = (0..warehouses).map(|_| House::new()).collect();
         let list = House::new();
-        let engines: Vec<SocketAddr> = houses.iter().map(House::address).collect();
-        let text = config(&engines, list.address(), more);
+        let text = configured(&houses, &list, more);
         let secret = |name: &str| (name == "SECRET").then(|| "frost".to_owned());
         let config = Config::read(text.into_bytes(), &secret).expect("a good configuration");
         let clock = Clock::fixed(START);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -200,3 +200,36 @@
     assert!(child.wait().unwrap().success());
     std::fs::remove_file(file("term")).unwrap();
 }
+
+#[test]
+fn a_sighup_moves_the_bulletin_and_a_bad_file_changes_nothing() {
+    // Guards a new configuration under load: the program goes on, dials the new bulletin from the last number had,
+    // and names the key that is wrong and those that count at the start only.
+    let (old, new) = (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let text = config(&[], old.local_addr().unwrap(), r#""listen":"127.0.0.1:0","#);
+    let mut child = start("hup", &text);
+    let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+    let greeting = |bulletin: &TcpListener| {
+        let (mut stream, mut last) = (bulletin.accept().unwrap().0, [0; 8]);
+        stream.read_exact(&mut last).unwrap();
+        (stream, u64::from_be_bytes(last))
+    };
+    let (mut dropped, last) = greeting(&old);
+    assert_eq!(last, 1);
+    let mut reload = |text: &str, lines: &[&str]| {
+        std::fs::write(file("hup"), text).unwrap();
+        assert!(Command::new("kill").args(["-HUP", &child.id().to_string()]).status().unwrap().success());
+        for line in lines {
+            assert!(log.any(|told| told.unwrap().contains(line)), "it ended before: {line}");
+        }
+    };
+    reload(&text.replace(r#""seed":"1f""#, r#""seed":"no""#), &["reload: config: seed is not 16 hex digits"]);
+    let moved = text.replace(&old.local_addr().unwrap().to_string(), &new.local_addr().unwrap().to_string());
+    reload(&moved.replace(r#""seed":"1f""#, r#""seed":"2f""#), &["reload: done", "reload: seed has changed"]);
+    assert_eq!(greeting(&new).1, 1);
+    assert_eq!(dropped.read(&mut [0; 8]).unwrap(), 0, "the old bulletin is let go");
+    assert!(child.try_wait().unwrap().is_none(), "the program goes on");
+    child.kill().unwrap();
+    child.wait().unwrap();
+    std::fs::remove_file(file("hup")).unwrap();
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -332,3 +332,22 @@
     stage.go(r#"end send {"jsonrpc":"2.0","id":1,"method":"alive"}
         end expect {"jsonrpc":"2.0","id":1,"result":{"pass":true}}"#);
 }
+
+#[test]
+fn a_reload_takes_new_events_once_and_leaves_open_requests_alone() {
+    // Guards a bulletin that moves: its events go on by number, and those of the file that are known are old.
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want *",
+    );
+    let text = stage.config(r#""listen":"127.0.0.1:0","#);
+    stage.node.take_log();
+    for (no, listed) in [(1, false), (2, true), (2, false)] {
+        let text = text.replace(r#""no":1"#, &format!(r#""no":{no}"#));
+        stage.node.reload(beamgap::node::config::Config::read(text.into_bytes(), &|_| None));
+        let told = stage.node.take_log().iter().any(|line| line.starts_with("list: "));
+        assert_eq!(told, listed, "number {no}");
+    }
+    assert_eq!(stage.node.open_requests(), 1);
+}
