Check warehouse answers to the byte and give each attempt a connection of its own

Cause: backend/warehouse.rs line() took short forms, ignored unknown words and did not look for the line end behind a body; line() of the pool copied pages unread. A body cut by a wrong length was passed on, the rest skipped as answers to nobody. Ruled out: second copies and answers under unknown ids, which the table of open attempts already passed over. Change: strict framing, page checks (length, UTF-8, whole rows, three columns), one connection an attempt while there is room, a stall of 0.5 s in mid-answer or a lost framing drops the connection; a want of which nothing was written goes on by another connection instead of counting against the warehouse (which also made it count as cold).

--- a/src/node/backend/warehouse.rs
+++ b/src/node/backend/warehouse.rs
@@ -3,26 +3,29 @@
 use super::roster::Roster;
 use super::Cx;
 use crate::node::bulletin::Listing;
-use crate::node::deadlines::Wake;
+use crate::node::deadlines::{Deadlines, Handle, Wake};
 use crate::node::exchange::{Answer, AttemptRef, Ended, Heard, Start};
 use crate::node::reactor::{Link, Owner, ReadEnd};
 use crate::node::slots::{Key, Slots};
 use crate::{settings, EngineId, ListKind, LoadReport, Micros, Note, Outcome, TrueCost};
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const LOOK_MS: f64 = 500.0; // between looks at a connection: as often as notes come
-const QUIET_MS: f64 = 1200.0; // without a byte while attempts are out; then `there` asks whether it works
-const SUSPECT_MS: f64 = 1500.0; // without an answer to that, nothing new goes onto it; longer than any pause
+const LOOK_MS: f64 = 250.0; // between looks at a connection: twice as often as notes come
+const QUIET_MS: f64 = 700.0; // without a byte while attempts are out; then `there` asks whether it works
+const SUSPECT_MS: f64 = 500.0; // without an answer to that, nothing new goes onto it; longer than any pause
+const STALL_MS: f64 = 500.0; // in the middle of an answer without a further byte; then the framing is lost
 const DEAD_MS: f64 = 8000.0; // and after this the machine is taken for gone; a short cut mends before
 const IDLE_PART: f64 = 0.6; // of the time after which warehouses close: no `want` may cross their close
-const LINE_MOST: usize = 4096; // longer without an end, the framing is lost
-const BODY_MOST: usize = 64 * 1024; // a page has 6,000 bytes at most
-const PAGES_MOST: usize = 1024; // likewise: a result has 48,000 bytes at most
-const RESULT_MOST: usize = 256 * 1024; // likewise, with room
+const LINE_MOST: usize = 1024; // longer without an end, the framing is lost
+const BODY_MOST: usize = 6000; // of a page, as the platform promises; more is a length that does not fit
+const PAGES_MOST: usize = 64; // likewise: eight full pages, more where rows are long
+const RESULT_MOST: usize = 48_000; // likewise
 const SPENT_MOST: usize = 512; // names given up on one connection; beyond, it is left to run dry
-const LINKS_MOST: usize = 8; // connections to one warehouse
+const LINKS_MOST: usize = 12; // connections to one warehouse: as many as a node has attempts there, as a rule
+const MOVES_MOST: u8 = 2; // connections that a `want` may lose before a byte of it is written
 
 #[derive(Debug)]
 struct Attempt {
@@ -38,6 +41,7 @@
     at: AttemptRef,
     name: Arc<str>,
     bytes: Vec<u8>,
+    moves: u8,
 }
 
 #[derive(Debug)]
@@ -47,6 +51,7 @@
     up: bool,
     since: f64,
     heard: f64,
+    next_look: Option<Handle>,
     /// When `there` was asked, while it is not answered.
     asked: Option<f64>,
     /// Not one byte of these has been written: whatever ends them, they never ran.
@@ -60,6 +65,12 @@
     fn load(&self) -> usize {
         self.wants.len() + self.open.len()
     }
+
+    /// Sets the one look to come.
+    fn look_at(&mut self, at: f64, key: Key, deadlines: &mut Deadlines) {
+        self.next_look.take().into_iter().for_each(|before| deadlines.clear(before));
+        self.next_look = Some(deadlines.set(at, Wake::Backend(key)));
+    }
 }
 
 /// The pool of warehouse connections.
@@ -75,43 +86,53 @@
     placed: HashMap<AttemptRef, (Key, Arc<str>)>,
 }
 
-/// One answer line: its words, and how many bytes of body follow.
+/// One answer: its words and its body.
 struct Line<'a> {
     id: &'a str,
     word: &'a str,
     fields: Vec<(&'a str, &'a str)>,
-    body: Option<&'a [u8]>,
+    body: &'a [u8],
 }
 
-/// A line that can't be: the framing is lost.
+/// An answer that can't be: the framing is lost, and with it all that the connection carries.
 struct Lost;
 
-/// Reads a line with its body from the front; the number of bytes that it takes. An empty line counts alone.
-fn line(bytes: &[u8]) -> Result<Option<(usize, Option<Line<'_>>)>, Lost> {
-    let Some(end) = bytes.iter().position(|b| *b == b'\n') else {
-        return if bytes.len() > LINE_MOST { Err(Lost) } else { Ok(None) };
-    };
-    let text = std::str::from_utf8(&bytes[..end]).map_err(|_| Lost)?.trim_end_matches('\r');
-    let words: Vec<&str> = text.split(' ').filter(|w| !w.is_empty()).collect();
-    let (id, word, fields, length) = match words[..] {
-        [] => return Ok(Some((end + 1, None))),
-        [id, word] => (id, word, "-", None),
-        [id, word, length] if length.parse::<usize>().is_ok() => (id, word, "-", Some(length)),
-        [id, word, fields] => (id, word, fields, None),
-        [id, word, fields, length] => (id, word, fields, Some(length)),
-        _ => return Err(Lost),
-    };
-    let length =
-        length.map(|l| l.parse::<usize>().ok().filter(|l| *l <= BODY_MOST).ok_or(Lost)).transpose()?;
-    let (body, used) = match length {
-        None | Some(0) => (None, end + 1), // The empty line that ends an empty body is read as one.
-        Some(length) => {
-            let Some(body) = bytes.get(end + 1..end + 1 + length) else { return Ok(None) };
-            (Some(body), end + 1 + length)
-        }
+const WORDS: [&str; 7] = ["served", "rows", "update", "overload", "nobody", "crashed", "green"];
+
+/// Reads an answer from the front; the number of bytes that it takes. Whatever is not wholly as it should be is lost:
+/// behind a length that does not fit, every byte may pass for something that it is not.
+fn line(bytes: &[u8]) -> Result<Option<(usize, Line<'_>)>, Lost> {
+    let Some(end) = bytes.iter().take(LINE_MOST).position(|b| *b == b'\n') else {
+        return if bytes.len() >= LINE_MOST { Err(Lost) } else { Ok(None) };
     };
-    let fields = fields.split(',').filter_map(|f| f.split_once('=')).collect();
-    Ok(Some((used, Some(Line { id, word, fields, body }))))
+    let text = bytes[..end].strip_suffix(b"\r").filter(|text| text.iter().all(|b| matches!(b, b' '..=b'~')));
+    let words = std::str::from_utf8(text.ok_or(Lost)?).map_err(|_| Lost)?.split(' ').collect::<Vec<_>>();
+    let [id, word, fields, length] = words[..] else { return Err(Lost) };
+    let digits = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
+    let length = length.parse::<usize>().ok().filter(|l| digits && *l <= BODY_MOST).ok_or(Lost)?;
+    if id.is_empty() || !WORDS.contains(&word) {
+        return Err(Lost);
+    }
+    let pairs = fields.split(',').filter(|_| fields != "-");
+    let fields = pairs.map(|f| f.split_once('=').ok_or(Lost)).collect::<Result<Vec<_>, _>>()?;
+    let whole = end + 1 + length;
+    match bytes.get(whole..whole + 2) {
+        None => Ok(None),
+        Some(b"\r\n") => Ok(Some((whole + 2, Line { id, word, fields, body: &bytes[end + 1..whole] }))),
+        Some(_) => Err(Lost),
+    }
+}
+
+/// A page as the platform promises it: whole rows of three columns, as text.
+fn page(body: &[u8]) -> Result<Vec<u8>, Lost> {
+    let text = std::str::from_utf8(body).map_err(|_| Lost)?;
+    let whole = text.is_empty() || text.ends_with('\n');
+    let columns = text.lines().all(|row| row.matches('\t').count() == 2);
+    if whole && columns {
+        Ok(body.to_vec())
+    } else {
+        Err(Lost)
+    }
 }
 
 impl Line<'_> {
@@ -121,6 +142,11 @@
     fn number(&self, name: &str) -> Option<f64> {
         self.field(name)?.parse::<f64>().ok().filter(|v| v.is_finite())
     }
+    /// A whole number from 1 to `most`.
+    fn count(&self, name: &str, most: usize) -> Result<usize, Lost> {
+        let value = self.field(name).and_then(|value| value.parse::<usize>().ok());
+        value.filter(|value| (1..=most).contains(value)).ok_or(Lost)
+    }
     fn note(&self) -> Option<Note> {
         let value = self.number("v").unwrap_or(0.0);
         match self.field("remark")? {
@@ -222,11 +248,12 @@
         head.push_str(&format!(",prio={} {}\r\n", start.priority.min(3), statement.len()));
         let bytes = [head.as_bytes(), statement, b"\r\n"].concat();
         self.placed.insert(start.attempt, (key, start.name.clone()));
-        conn.wants.push_back(Want { at: start.attempt, name: start.name, bytes });
+        conn.wants.push_back(Want { at: start.attempt, name: start.name, bytes, moves: 0 });
         self.flush(key, cx);
     }
 
-    /// A connection with room that never carried this name before, or a new one.
+    /// An idle connection that never carried this name before, else a new one, else the least loaded: a connection
+    /// that is spoilt or cut off takes all that is open on it along, so each is to carry little.
     fn choose(&mut self, id: &EngineId, name: &Arc<str>, cx: &mut Cx) -> Option<Key> {
         let fits = |conn: &Conn| {
             let suspect = conn.asked.is_some_and(|at| cx.now - at > SUSPECT_MS);
@@ -236,8 +263,13 @@
         };
         let fitting =
             self.roster.links(id).iter().copied().filter(|key| self.conns.get(*key).is_some_and(fits));
-        let least = fitting.min_by_key(|key| self.conns.get(*key).map_or(0, Conn::load));
-        least.or_else(|| self.dial(id, cx))
+        let load = |key: &Key| self.conns.get(*key).map_or(0, Conn::load);
+        let least = fitting.min_by_key(load);
+        let spare = self.conns.len() < self.sockets;
+        match least {
+            Some(key) if load(&key) == 0 || !spare => Some(key),
+            least => self.dial(id, cx).or(least),
+        }
     }
 
     fn dial(&mut self, id: &EngineId, cx: &mut Cx) -> Option<Key> {
@@ -259,6 +291,7 @@
             up: false,
             since,
             heard,
+            next_look: None,
             asked: None,
             wants: VecDeque::new(),
             open: HashMap::new(),
@@ -270,7 +303,7 @@
             self.lose(key, Outcome::ConnectFailed, cx);
             return None;
         }
-        cx.deadlines.set(cx.now + self.dial_ms, Wake::Backend(key));
+        self.conns.get_mut(key)?.look_at(cx.now + self.dial_ms, key, cx.deadlines);
         Some(key)
     }
 
@@ -312,14 +345,21 @@
         if !conn.up {
             match conn.link.connected() {
                 None => return,
-                Some(Err(_)) => return self.lose(key, Outcome::ConnectFailed, cx),
+                Some(Err(e)) => {
+                    // It was up if it was reset: that proves no failure to connect.
+                    conn.up = e.kind() == ErrorKind::ConnectionReset;
+                    return self.lose(key, Outcome::ConnectFailed, cx);
+                }
                 Some(Ok(())) => {
                     (conn.up, conn.heard) = (true, cx.now);
-                    cx.deadlines.set(cx.now + LOOK_MS, Wake::Backend(key));
+                    conn.look_at(cx.now + LOOK_MS, key, cx.deadlines);
                 }
             }
         }
         if self.read(key, cx).is_err() {
+            if let Some(conn) = self.conns.get(key).filter(|conn| conn.load() > 0) {
+                cx.log.push(format!("lost: engine={} attempts={}", conn.engine.0, conn.load()));
+            }
             return self.lose(key, Outcome::Reset, cx);
         }
         self.flush(key, cx);
@@ -341,7 +381,7 @@
                     Ok(None) => break,
                     Ok(Some((bytes, line))) => {
                         used += bytes;
-                        result = line.map_or(Ok(()), |line| self.line(key, line, cx));
+                        result = self.line(key, line, cx);
                     }
                     Err(lost) => result = Err(lost),
                 }
@@ -369,12 +409,9 @@
                 return Ok(());
             }
             "served" if attempt.pages.is_empty() => {
-                let pages = line.number("pages").unwrap_or(1.0).max(1.0) as usize;
-                if pages > PAGES_MOST {
-                    return Err(Lost);
-                }
+                let pages = line.count("pages", PAGES_MOST)?;
                 attempt.pages = vec![None; pages];
-                attempt.pages[0] = Some(line.body.unwrap_or_default().to_vec());
+                attempt.pages[0] = Some(page(line.body)?);
                 (attempt.cost, attempt.report) = (line.cost(), line.report());
                 for page in 1..pages {
                     conn.link.put(format!("turn {} {page}\r\n", line.id).as_bytes());
@@ -382,10 +419,12 @@
                 Outcome::Served
             }
             "rows" => {
-                let place = line.number("page").map(|page| page as usize);
-                match place.and_then(|page| attempt.pages.get_mut(page)) {
-                    Some(page) => *page = Some(line.body.unwrap_or_default().to_vec()),
-                    None => return Ok(()),
+                // Page 0 comes with `served`; a second copy of any changes nothing.
+                let place = line.count("page", PAGES_MOST)?;
+                let rows = page(line.body)?;
+                match attempt.pages.get_mut(place) {
+                    Some(page) if page.is_none() => *page = Some(rows),
+                    _ => return Ok(()),
                 }
                 Outcome::Served
             }
@@ -444,12 +483,27 @@
         }
     }
 
-    /// Drops a connection. What was sent on it ends as `outcome` says; what was not never ran.
+    /// Drops a connection. What was sent on it ends as `outcome` says. What was not never ran: it goes on by another
+    /// connection, since one that breaks says nothing of the warehouse, or ends so if there was none in time.
     fn lose(&mut self, key: Key, outcome: Outcome, cx: &mut Cx) {
         let Some(conn) = self.conns.remove(key) else { return };
         self.roster.unlink(&conn.engine, key);
-        let unsent = conn.wants.into_iter().map(|want| (want.at, Outcome::ConnectFailed));
-        for (at, outcome) in conn.open.into_values().map(|a| (a.at, outcome)).chain(unsent) {
+        conn.next_look.into_iter().for_each(|look| cx.deadlines.clear(look));
+        let mut ends: Vec<_> = conn.open.into_values().map(|a| (a.at, outcome)).collect();
+        for mut want in conn.wants {
+            want.moves += 1;
+            let serves = conn.up && want.moves <= MOVES_MOST && self.roster.serving(&conn.engine).is_some();
+            let to = if serves { self.choose(&conn.engine, &want.name, cx) } else { None };
+            match to.and_then(|key| Some((key, self.conns.get_mut(key)?))) {
+                Some((key, next)) => {
+                    self.placed.insert(want.at, (key, want.name.clone()));
+                    next.wants.push_back(want);
+                    self.flush(key, cx);
+                }
+                None => ends.push((want.at, Outcome::ConnectFailed)),
+            }
+        }
+        for (at, outcome) in ends {
             self.placed.remove(&at);
             cx.heard.push(Heard::Ended(Ended::bare(at, outcome)));
         }
@@ -465,6 +519,10 @@
             return;
         }
         let idle = cx.now - conn.heard;
+        if !conn.link.input.is_empty() && idle >= STALL_MS {
+            cx.log.push(format!("lost: engine={} attempts={} in mid-answer", conn.engine.0, conn.load()));
+            return self.lose(key, Outcome::Reset, cx);
+        }
         if conn.load() == 0 {
             if idle >= self.idle_ms {
                 return self.lose(key, Outcome::Reset, cx);
@@ -477,6 +535,8 @@
             conn.link.put(format!("there k{}\r\n", key.slot).as_bytes());
             self.flush(key, cx);
         }
-        cx.deadlines.set(cx.now + LOOK_MS, Wake::Backend(key));
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.look_at(cx.now + LOOK_MS, key, cx.deadlines);
+        }
     }
 }
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -7,6 +7,7 @@
 use beamgap::node::config::MysqlSettings;
 use beamgap::node::deadlines::Deadlines;
 use beamgap::node::exchange::{AttemptRef, Front, Heard, Payload, Start};
+use beamgap::node::reactor::Owner;
 use beamgap::node::slots::Key;
 use beamgap::{Attempt, ClassId, EngineId, ListKind, Member, MemberState, Outcome};
 use std::io::Read;
@@ -96,3 +97,33 @@
         assert_eq!(got, b"", "not a byte of it was written");
     }
 }
+
+#[test]
+fn what_is_unsent_when_its_connection_breaks_goes_by_another() {
+    // Guards against connections that are reset as soon as they stand: that says nothing of the warehouse.
+    let [mut pool, _] = pools();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut poll = mio::Poll::new().unwrap();
+    let (mut deadlines, mut heard, mut log) = (Deadlines::default(), Vec::new(), Vec::new());
+    let registry = poll.registry().try_clone().unwrap();
+    let mut cx =
+        Cx { now: 0.0, registry: &registry, deadlines: &mut deadlines, heard: &mut heard, log: &mut log };
+    pool.members(listing(listener.local_addr().unwrap(), MemberState::Serving), &mut cx);
+    pool.start(start(1), &mut cx);
+    drop(listener.accept().unwrap());
+    let Pool::Lines(pool) = &mut pool else { unreachable!() };
+    let mut events = mio::Events::with_capacity(8);
+    listener.set_nonblocking(true).unwrap();
+    let mut next = None;
+    let mut got = [0; 5];
+    while !next.iter_mut().any(|(stream, _): &mut (std::net::TcpStream, _)| stream.read(&mut got).is_ok()) {
+        poll.poll(&mut events, Some(std::time::Duration::from_millis(5))).unwrap();
+        for owner in events.iter().filter_map(|event| Owner::of(event.token())) {
+            let Owner::Warehouse(key) = owner else { panic!("{owner:?}") };
+            pool.ready(key, &mut cx);
+        }
+        next = next.or_else(|| listener.accept().ok());
+        next.iter().for_each(|(stream, _)| stream.set_nonblocking(true).unwrap());
+    }
+    assert_eq!((&got, outcomes(cx.heard)), (b"want ", vec![]));
+}
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -195,8 +195,8 @@
     let mut late = TcpStream::connect(&address).unwrap();
     ask(&mut late, r#"{"jsonrpc":"2.0","id":1,"method":"alive"}"#);
     assert_eq!(answer(late), r#"{"jsonrpc":"2.0","id":1,"result":{"pass":true}}"#);
-    box_side.write_all(b"ab served pages=1 1\r\nx\r\n").unwrap();
-    assert_eq!(answer(client), r#"{"jsonrpc":"2.0","id":1,"result":{"doc":"eA=="}}"#);
+    box_side.write_all(b"ab served pages=1 6\r\na\tb\tc\n\r\n").unwrap();
+    assert_eq!(answer(client), r#"{"jsonrpc":"2.0","id":1,"result":{"doc":"YQliCWMK"}}"#);
     assert!(child.wait().unwrap().success());
     std::fs::remove_file(file("term")).unwrap();
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -52,8 +52,8 @@
         w expect want c1-2 *
         w close
         w expect want c1-2 *
-        w send c1-2 served pages=1 x\\n
-        c1 expect 2 served x\\n
+        w send c1-2 served pages=1 x\\t\\t\\n
+        c1 expect 2 served x\\t\\t\\n
         c1 wait silent",
     );
 }
@@ -64,12 +64,12 @@
         2,
         "c1 send ask 1 lookup 2500 select 1 from s_1.t
         w expect want c1-1 *
-        w send c1-1 served pages=2 a\\n
+        w send c1-1 served pages=2 a\\t\\t\\n
         w expect turn c1-1 1
         w send c1-1 crashed -
         w expect want c1-1 *
-        w send c1-1 served pages=1 b\\n
-        c1 expect 1 served b\\n
+        w send c1-1 served pages=1 b\\t\\t\\n
+        c1 expect 1 served b\\t\\t\\n
         c1 wait silent",
     );
 }
@@ -82,11 +82,11 @@
         w expect want c1-1 *
         c1 send cancel 1
         w expect never_mind c1-1
-        w send c1-1 served pages=1 late\\n
+        w send c1-1 served pages=1 late\\t\\t\\n
         c1 send ask 2 lookup 2500 select 2 from s_1.t
         w expect want c1-2 *
-        w send c1-2 served pages=1 x\\n
-        c1 expect 2 served x\\n
+        w send c1-2 served pages=1 x\\t\\t\\n
+        c1 expect 2 served x\\t\\t\\n
         c1 wait silent",
     );
 }
@@ -103,10 +103,10 @@
         w expect want c1-1 *",
     );
     assert_eq!(stage.houses[0].conns.len(), 2, "the second attempt has a connection of its own");
-    stage.houses[0].conns[0].push(b"c1-1 served pages=1 5\r\nlate\n\r\n");
+    stage.houses[0].conns[0].push(b"c1-1 served pages=1 7\r\nlate\t\t\n\r\n");
     stage.go("c1 wait silent
-        w send c1-1 served pages=1 x\\n
-        c1 expect 1 served x\\n
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
         c1 wait silent");
 }
 
@@ -128,16 +128,16 @@
 fn the_budget_counts_from_the_send_and_its_end_is_one_answer() {
     let stage = Stage::play(
         1,
-        "c1 send ask 1 delivery-load 900 insert into s_1.t values (1)
-        w expect want c1-1 profile=delivery-load,max=89*
-        clock wait 920
+        "c1 send ask 1 delivery-load 600 insert into s_1.t values (1)
+        w expect want c1-1 profile=delivery-load,max=59*
+        clock wait 620
         w expect never_mind c1-1
         c1 expect 1 error -32012
-        w send c1-1 served pages=1 late\\n
+        w send c1-1 served pages=1 late\\t\\t\\n
         c1 wait silent",
     );
     assert_eq!(stage.node.open_requests(), 0);
-    assert!(stage.clock.now() < START + 950.0, "within the grace after the deadline");
+    assert!(stage.clock.now() < START + 650.0, "within the grace after the deadline");
 }
 
 #[test]
@@ -147,13 +147,13 @@
         "c1 send ask 1 lookup 2500 select 1 from s_1.t
         w expect want c1-1 *
         list send 2 1
-        w send c1-1 served pages=1 x\\n
-        c1 expect 1 served x\\n
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
         w close
         c1 send ask 2 lookup 2500 select 1 from s_1.t
         w expect want c1-2 *
-        w send c1-2 served pages=1 y\\n
-        c1 expect 2 served y\\n",
+        w send c1-2 served pages=1 y\\t\\t\\n
+        c1 expect 2 served y\\t\\t\\n",
     );
 }
 
@@ -169,8 +169,8 @@
         c1 expect 1 error -32010
         c1 send ask 2 lookup 2500 select 1 from s_1.t
         w expect want c1-2 *
-        w send c1-2 served pages=1 x\\n
-        c1 expect 2 served x\\n",
+        w send c1-2 served pages=1 x\\t\\t\\n
+        c1 expect 2 served x\\t\\t\\n",
     );
 }
 
@@ -181,8 +181,8 @@
         1,
         "c1 send ask 1 lookup 2500 select 1 from s_1.t
         w expect want c1-1 *
-        w send c1-1 served pages=1 x\\n
-        c1 expect 1 served x\\n
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
         list send 2 2
         c1 send ask 2 lookup 300 select 1 from s_1.t
         clock wait 290
@@ -235,12 +235,12 @@
     stage.go("clock wait 700
         c2 send ask 1 lookup 2500 select 2 from s_1.t
         w expect want c2-1 *
-        w send c2-1 served pages=1 y\\n
-        c2 expect 1 served y\\n
+        w send c2-1 served pages=1 y\\t\\t\\n
+        c2 expect 1 served y\\t\\t\\n
         clock wait 400");
     assert!(!stage.node.ended(), "one request is still open");
-    stage.go("w send c1-1 served pages=1 x\\n
-        c1 expect 1 served x\\n
+    stage.houses[0].conns[0].push(b"c1-1 served pages=1 4\r\nx\t\t\n\r\n");
+    stage.go("c1 expect 1 served x\\t\\t\\n
         clock wait 60");
     assert!(stage.node.ended());
 }
@@ -351,3 +351,82 @@
     }
     assert_eq!(stage.node.open_requests(), 1);
 }
+
+#[test]
+fn a_spoilt_answer_costs_its_connection_and_is_never_passed_on() {
+    // Guards against warehouses and networks that spoil answers: noise, lengths that do not fit, huge claims, pages
+    // that are no whole rows of three columns. The load on the connection may have run and ends at once.
+    let endless = [b"c1-1 served pages=1 ".as_slice(), &[b'9'; 2000]].concat();
+    for spoilt in [
+        b"\x00\xff\x13noise\r\n".as_slice(),
+        &endless,
+        b"c1-1 served pages=1 3000000000\r\n",
+        b"c1-1 served pages=1 6\r\na\tb\tc\nd\r\n",
+        b"c1-1 served pages=1 9\r\na\tb\tc\n\r\nc1-1 update - 0\r\n\r\n",
+        b"c1-1 served pages=1 4\r\na\tb\n\r\n",
+        b"c1-1 served pages=1 5\r\na\tb\tc\r\n",
+        b"c1-1 served pages=1 6\r\na\tb\t\xff\n\r\n",
+        b"c1-1 served pages=999999 6\r\na\tb\tc\n\r\n",
+        b"c1-1 served - 6\r\na\tb\tc\n\r\n",
+        b"c1-1 servod pages=1 6\r\na\tb\tc\n\r\n",
+        b"c1-1 served pages=1\r\n",
+    ] {
+        let mut stage = Stage::play(
+            1,
+            "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
+            w expect want c1-1 *",
+        );
+        stage.houses[0].conns[0].push(spoilt);
+        stage.go("c1 expect 1 error -32010\nc1 wait silent");
+        stage.expect("the close", |stage| stage.houses[0].conns[0].closed);
+    }
+}
+
+#[test]
+fn an_answer_that_stops_short_is_waited_for_briefly() {
+    // Guards against a connection that stays open in the middle of an answer: it is of no further use.
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
+        w expect want c1-1 *",
+    );
+    stage.houses[0].conns[0].push(b"c1-1 served pages=1 6\r\na\t");
+    stage.go("c1 wait silent\nclock wait 1000\nc1 expect 1 error -32010");
+}
+
+#[test]
+fn answers_that_bring_more_than_is_theirs_harm_nothing() {
+    // Guards against second copies, and against answers under ids that are not, or not yet, asked for there.
+    Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c1-1 *
+        w send c1-2 served pages=1 e\\ta\\tr\\n
+        w send zz served pages=1 a\\tb\\tc\\n
+        w send c1-1 served pages=2 a\\tb\\tc\\n
+        w expect turn c1-1 1
+        w send c1-1 served pages=2 x\\ty\\tz\\n
+        w send c1-1 rows page=1 d\\te\\tf\\n
+        w send c1-1 rows page=1 x\\ty\\tz\\n
+        w expect shut c1-1
+        c1 expect 1 served a\\tb\\tc\\nd\\te\\tf\\n
+        c1 send ask 2 lookup 2500 select 1 from s_1.t
+        w expect want c1-2 *
+        w send c1-2 served pages=1 x\\ty\\tz\\n
+        c1 expect 2 served x\\ty\\tz\\n
+        c1 wait silent",
+    );
+}
+
+#[test]
+fn each_attempt_has_a_connection_of_its_own_while_there_is_room() {
+    // Guards against one bad connection that takes the answers of many requests along.
+    let stage = Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c1-1 *
+        c1 send ask 2 lookup 2500 select 2 from s_1.t
+        w expect want c1-2 *",
+    );
+    assert_eq!(stage.houses[0].conns.len(), 2);
+}
