Make room for clients that come, give silent ones a deadline and floods their turn

Cause: node/mod.rs accept() stopped at a third of the descriptors, which clients that ask once and stay had filled by second 10; front/jsonrpc.rs had no deadline before a first message or inside one, and closed on unread bytes. Change: room by use left (being let go, never asked, idle), 2 s to a first and to a whole message, an error and a short linger before a close, 32 messages a turn, ids, tenants, figures and statements checked before an engine sees them, log lines bounded, message length by the memory limit. Left there: engines put aside for errors of bad requests.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -218,9 +218,10 @@
         Ok(config)
     }
 
-    /// Descriptors for clients: a third, as the platform promises; the rest is for engines and the node itself.
+    /// Descriptors for clients: the usual ones hold a third at most, as the platform promises, and those that only
+    /// hold a connection need room beside them until they are let go. The rest is for engines and the node itself.
     pub fn client_sockets(&self) -> usize {
-        self.sockets / 3 + 8
+        self.sockets / 2
     }
 }
 
--- a/src/node/deadlines.rs
+++ b/src/node/deadlines.rs
@@ -20,6 +20,8 @@
     MysqlBox(Key),
     /// The bulletin: connect, or see whether it has fallen silent.
     Bulletin,
+    /// A client connection of the platform's front that has not asked, stands in mid-message, or is let go.
+    Client(Key),
     /// A client connection of the MySQL front that has not logged in.
     MysqlLogin(Key),
     /// A connection of a balancer's check or of an xDS client.
--- a/src/node/front/jsonrpc.rs
+++ b/src/node/front/jsonrpc.rs
@@ -1,6 +1,7 @@
 //! The platform's front: JSON-RPC 2.0 behind `Content-Length` heads.
 
 use crate::node::backend::Cx;
+use crate::node::deadlines::{Handle, Wake};
 use crate::node::exchange::{Answer, Ask, Asker, Front, Heard, Payload};
 use crate::node::json::{self, *};
 use crate::node::reactor::{heaviest, Link, Owner, ReadEnd};
@@ -15,11 +16,24 @@
 
 const HEAD_MOST: usize = 4096; // a head is one short line; longer, the framing is lost
 const MESSAGE_MOST: usize = 1 << 20; // a statement of some 700 kB in base64
+const MESSAGE_LEAST: usize = 64 * 1024; // and where memory is short: a long statement still
+const MESSAGE_PART: usize = 32; // of what all clients may keep here, a message takes no more than such a part
 const OPEN_MOST: usize = 32; // requests on one connection, as the platform promises
 const OUT_HIGH: usize = 256 * 1024; // unwritten answers past which nothing more is read from a client
 const OUT_MOST: usize = 4 << 20; // and past which a client that reads nothing is let go: 32 whole results
 const CLIENT_LIGHT: usize = 32 * 1024; // bytes of one client that call for no look at all of them
-const NAME_MOST: usize = 64; // a name goes onto other wires: short, and of plain characters
+const NAME_LENGTH: usize = 16; // hex digits, as the platform promises: engines read nothing else
+const TURN_BYTES: usize = 64 * 1024; // of one client at a time; then it is the others' turn
+const TURN_MESSAGES: usize = 32; // likewise: a whole connection's worth
+const FIRST_MS: f64 = 2000.0; // from the connect to a first whole message; then a client is let go
+const WHOLE_MS: f64 = 2000.0; // from a message's first byte to its last; likewise
+const LINGER_MS: f64 = 300.0; // after the last word, for a client to read it: a reset would take it away
+const LINGER_MOST: usize = 1 << 20; // bytes that are thrown away meanwhile; what is left unread resets
+const NEW_MS: f64 = 100.0; // a client this new has yet to say its first word
+const FAR: f64 = 2.0; // times its class's longest wait past which a client's budget is out of range
+const MOST_MS: f64 = 1e7; // work past which an estimate is out of range: three hours
+const MOST_MB: f64 = 1e7; // memory, likewise: ten terabytes
+const LOG_MOST: u32 = 20; // lines on bad messages a second; the rest are counted
 
 const PARSE: (i32, &str) = (-32700, "Parse error");
 const INVALID: (i32, &str) = (-32600, "Invalid Request");
@@ -34,11 +48,32 @@
     open: HashSet<u64>,
     /// The client has closed its side: nobody waits any more.
     ended: bool,
+    /// Whether it has ever said anything that is of use.
+    asked: bool,
+    /// When it connected, or was last answered.
+    since: f64,
+    /// Since when a message stands half said.
+    part: Option<f64>,
+    /// It gets no more than what is written, and is let go soon; so many bytes of it were thrown away.
+    leaving: Option<usize>,
+    due: Option<Handle>,
 }
 
 impl Client {
     fn weight(&self) -> usize {
-        self.link.waiting() + self.link.input.len()
+        self.link.waiting() + self.link.input.capacity()
+    }
+
+    /// The order in which clients make room for others; none for whom something is open or on its way.
+    fn use_left(&self, now: f64) -> Option<u8> {
+        match () {
+            () if self.leaving.is_some() => Some(0),
+            () if !self.open.is_empty() || (self.asked && self.part.is_some()) => None,
+            () if !self.asked && now - self.since > NEW_MS => Some(1),
+            () if self.asked && self.link.waiting() == 0 => Some(2),
+            () if !self.asked => Some(3),
+            () => None,
+        }
     }
 }
 
@@ -47,7 +82,14 @@
     clients: Slots<Client>,
     classes: HashMap<String, ClassId>,
     tenants: HashMap<String, Arc<str>>,
+    /// The longest budget by class.
+    budgets: Vec<f64>,
     total_most: usize,
+    message_most: usize,
+    /// Clients that have said more than one turn takes.
+    again: Vec<Key>,
+    /// Lines on bad messages in this second, and the second.
+    told: (u32, f64),
 }
 
 /// A message as far as the framing tells.
@@ -60,7 +102,7 @@
     Lost,
 }
 
-fn framed(bytes: &[u8]) -> Framed {
+fn framed(bytes: &[u8], message_most: usize) -> Framed {
     let Some(end) = bytes.windows(4).take(HEAD_MOST).position(|w| w == b"\r\n\r\n") else {
         return if bytes.len() >= HEAD_MOST { Framed::Lost } else { Framed::Part };
     };
@@ -71,7 +113,7 @@
         if name.trim().eq_ignore_ascii_case("content-length") {
             let digits = value.trim();
             let plain = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
-            match digits.parse::<usize>().ok().filter(|l| plain && length.is_none() && *l <= MESSAGE_MOST) {
+            match digits.parse::<usize>().ok().filter(|l| plain && length.is_none() && *l <= message_most) {
                 Some(value) => length = Some(value),
                 None => return Framed::Lost,
             }
@@ -90,8 +132,10 @@
     Alive(u64),
     Cancel(u64),
     Run(u64, Box<Ask>),
+    /// A request under the number of one that is open.
+    Twice(u64),
     /// A notification that tells nothing: no answer is owed, not even an error.
-    Nothing(&'static str),
+    Nothing,
 }
 
 /// An error for the client: its request's number, if that could be read, and what is wrong.
@@ -103,7 +147,10 @@
         let classes =
             settings.classes.iter().enumerate().map(|(i, c)| (c.name.clone(), ClassId(i))).collect();
         let tenants = settings.tenants.iter().map(|t| (t.name.clone(), Arc::from(&*t.name))).collect();
-        JsonRpc { clients: Slots::default(), classes, tenants, total_most }
+        let budgets = settings.classes.iter().map(|c| FAR * c.deadline.as_millis()).collect();
+        let message_most = (total_most / MESSAGE_PART).clamp(MESSAGE_LEAST, MESSAGE_MOST);
+        let (clients, again, told) = (Slots::default(), Vec::new(), (0, 0.0));
+        JsonRpc { clients, classes, tenants, budgets, total_most, message_most, again, told }
     }
 
     /// Connected clients.
@@ -123,11 +170,23 @@
 
     /// A client has connected. `sent` is when what it has said already was sent at the latest.
     pub fn accept(&mut self, stream: TcpStream, sent: f64, cx: &mut Cx) {
-        let client = Client { link: Link::new(stream), open: HashSet::new(), ended: false };
+        let client = Client {
+            link: Link::new(stream),
+            open: HashSet::new(),
+            ended: false,
+            asked: false,
+            since: cx.now,
+            part: None,
+            leaving: None,
+            due: None,
+        };
         let key = self.clients.insert(client);
         let Some(client) = self.clients.get_mut(key) else { return };
         match client.link.watch(cx.registry, Owner::JsonRpc(key)) {
-            Ok(()) => self.ready(key, sent, cx),
+            Ok(()) => {
+                client.due = Some(cx.deadlines.set(cx.now + FIRST_MS, Wake::Client(key)));
+                self.ready(key, sent, cx);
+            }
             Err(e) => {
                 cx.log.push(format!("accept: error={e}"));
                 self.clients.remove(key);
@@ -135,47 +194,72 @@
         }
     }
 
-    /// A socket has something to say. `sent` is when what it says was sent at the latest.
+    /// Lets the client go of whom the least is to be had: gone already, never asked, idle. False if all are needed.
+    pub fn make_room(&mut self, cx: &mut Cx) -> bool {
+        let spare = self.clients.iter().filter_map(|(key, c)| Some((c.use_left(cx.now)?, c.since, key)));
+        let least = spare.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        least.into_iter().for_each(|(_, _, key)| self.close(key, cx));
+        least.is_some()
+    }
+
+    /// Clients that are to have another turn, after all others have had theirs.
+    pub fn take_again(&mut self) -> Vec<Key> {
+        std::mem::take(&mut self.again)
+    }
+
+    /// A socket has something to say. `sent` is when what it says was sent at the latest. One client says so much at
+    /// a time: one that floods is not to keep the others waiting.
     pub fn ready(&mut self, key: Key, sent: f64, cx: &mut Cx) {
-        loop {
-            let Some(client) = self.clients.get_mut(key) else { return };
-            if client.link.flush().is_err() {
-                return self.close(key, cx);
+        let Some(client) = self.clients.get_mut(key) else { return };
+        if client.link.flush().is_err() {
+            return self.close(key, cx);
+        }
+        if client.leaving.is_some() {
+            return self.throw_away(key, cx);
+        }
+        if client.link.waiting() > OUT_HIGH {
+            return; // Read on when it has taken its answers; the poll tells of that.
+        }
+        let most = (client.link.input.len() + TURN_BYTES).min(HEAD_MOST + self.message_most);
+        let end = client.link.read(most);
+        let input = std::mem::take(&mut client.link.input);
+        let (mut used, mut messages) = (0, 0);
+        let framing = loop {
+            match framed(&input[used..], self.message_most) {
+                Framed::Whole(bytes, body) if messages < TURN_MESSAGES => {
+                    let message = input[used + body.start..used + body.end].to_vec();
+                    used += bytes;
+                    messages += 1;
+                    self.message(key, message, sent, cx);
+                }
+                other => break other,
             }
-            if client.link.waiting() > OUT_HIGH {
-                return; // Read on when it has taken its answers; the poll tells of that.
+        };
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.link.input = input;
+        client.link.used(used);
+        client.ended = matches!(end, Ok(ReadEnd::Closed));
+        match (end, framing) {
+            _ if client.leaving.is_some() => self.throw_away(key, cx),
+            (Err(_), _) => return self.close(key, cx),
+            (_, Framed::Lost) => {
+                return self.turn_away(key, PARSE, "the length can't be read, or is too much", cx)
             }
-            let end = client.link.read(HEAD_MOST + MESSAGE_MOST);
-            let input = std::mem::take(&mut client.link.input);
-            let mut used = 0;
-            let lost = loop {
-                match framed(&input[used..]) {
-                    Framed::Part => break false,
-                    Framed::Lost => break true,
-                    Framed::Whole(bytes, body) => {
-                        let message = input[used + body.start..used + body.end].to_vec();
-                        used += bytes;
-                        self.message(key, message, sent, cx);
-                    }
+            (_, Framed::Whole(..)) => self.again.push(key),
+            (Ok(end), Framed::Part) => {
+                let half = !client.link.input.is_empty();
+                client.part = client.part.filter(|_| half && used == 0).or(half.then_some(cx.now));
+                if let Some(since) = client.part {
+                    let first = if client.asked { f64::INFINITY } else { client.since + FIRST_MS };
+                    client.due.take().into_iter().for_each(|due| cx.deadlines.clear(due));
+                    client.due = Some(cx.deadlines.set(first.min(since + WHOLE_MS), Wake::Client(key)));
                 }
-            };
-            let Some(client) = self.clients.get_mut(key) else { return };
-            client.link.input = input;
-            client.link.used(used);
-            if lost {
-                return self.close(key, cx);
-            }
-            match end {
-                Ok(ReadEnd::Open) if client.link.has_more() => {}
-                Ok(ReadEnd::Open) => break,
-                Ok(ReadEnd::Closed) => {
-                    client.ended = true;
-                    break;
+                if end == ReadEnd::Open && client.link.has_more() {
+                    self.again.push(key);
                 }
-                Err(_) => return self.close(key, cx),
+                self.settle(key, cx);
             }
         }
-        self.settle(key, cx);
         if self.clients.get(key).is_some_and(|client| client.weight() > CLIENT_LIGHT) {
             self.bound_total(cx);
         }
@@ -184,24 +268,101 @@
     /// Writes what waits; lets a client go that has closed, or that takes nothing of what it is owed.
     fn settle(&mut self, key: Key, cx: &mut Cx) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        if client.link.flush().is_err() || client.ended || client.link.waiting() > OUT_MOST {
+        if client.link.flush().is_err() || client.link.waiting() > OUT_MOST.min(self.total_most / 2) {
             self.close(key, cx);
+        } else if client.ended {
+            self.leave(key, cx);
+        }
+    }
+
+    /// A deadline of a client: it has never asked, stands in the middle of a message, or has had its last word.
+    pub fn due(&mut self, key: Key, cx: &mut Cx) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.due = None;
+        match client.part {
+            _ if client.leaving.is_some() => self.close(key, cx),
+            Some(_) => self.turn_away(key, INVALID, "the message did not come whole in time", cx),
+            None if !client.asked => self.close(key, cx),
+            None => {}
+        }
+    }
+
+    /// Says why a client is let go, and lets it go.
+    fn turn_away(&mut self, key: Key, what: (i32, &'static str), why: &'static str, cx: &mut Cx) {
+        self.wrong(key, (None, what, why), cx);
+        self.leave(key, cx);
+    }
+
+    /// Withdraws what a client has open, and lets it read what is written before its connection is closed.
+    fn leave(&mut self, key: Key, cx: &mut Cx) {
+        self.gone(key, cx);
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.due.take().into_iter().for_each(|due| cx.deadlines.clear(due));
+        client.due = Some(cx.deadlines.set(cx.now + LINGER_MS, Wake::Client(key)));
+        (client.leaving, client.link.input) = (Some(0), Vec::new());
+        self.throw_away(key, cx);
+    }
+
+    /// A client that is let go: reads on for a while, so that no reset overtakes what it was told.
+    fn throw_away(&mut self, key: Key, cx: &mut Cx) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let thrown = client.leaving.unwrap_or_default();
+        let end = if thrown < LINGER_MOST { client.link.read(TURN_BYTES) } else { Ok(ReadEnd::Open) };
+        client.leaving = Some(thrown + client.link.input.len());
+        client.link.used(client.link.input.len());
+        if client.link.flush().is_err() || !matches!(end, Ok(ReadEnd::Open)) && client.link.waiting() == 0 {
+            return self.close(key, cx);
+        }
+        if client.link.waiting() == 0 {
+            client.link.finish();
+        }
+        if thrown < LINGER_MOST && client.link.has_more() {
+            self.again.push(key);
         }
     }
 
     fn close(&mut self, key: Key, cx: &mut Cx) {
-        let Some(client) = self.clients.remove(key) else { return };
-        let mut open: Vec<u64> = client.open.into_iter().collect();
+        self.gone(key, cx);
+        let due = self.clients.remove(key).and_then(|client| client.due);
+        due.into_iter().for_each(|due| cx.deadlines.clear(due));
+    }
+
+    /// Nobody waits any more for what is open on a connection.
+    fn gone(&mut self, key: Key, cx: &mut Cx) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let mut open: Vec<u64> = std::mem::take(&mut client.open).into_iter().collect();
         open.sort_unstable();
         let gone = open.into_iter().map(|id| Heard::Gone(Asker { front: Front::JsonRpc, conn: key, id }));
         cx.heard.extend(gone);
     }
 
+    /// Tells a client what is wrong with what it said.
+    fn wrong(&mut self, key: Key, (id, (code, name), why): Wrong, cx: &mut Cx) {
+        if cx.now - self.told.1 >= 1000.0 {
+            if self.told.0 > LOG_MOST {
+                cx.log.push(format!("bad message: {} more", self.told.0 - LOG_MOST));
+            }
+            self.told = (0, cx.now);
+        }
+        self.told.0 += 1;
+        if self.told.0 <= LOG_MOST {
+            cx.log.push(format!("bad message: code={code} {why}"));
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let id = id.map_or("null".to_owned(), |id| id.to_string());
+        let message = json::quoted(&format!("{name}: {why}"));
+        let error = format!(r#"{{"code":{code},"message":{message}}}"#);
+        put(&mut client.link, &format!(r#"{{"jsonrpc":"2.0","id":{id},"error":{error}}}"#));
+    }
+
     fn message(&mut self, key: Key, message: Vec<u8>, sent: f64, cx: &mut Cx) {
         let asked = self.read(key, message, sent);
-        let Some(client) = self.clients.get_mut(key) else { return };
+        let Some(client) = self.clients.get_mut(key).filter(|client| client.leaving.is_none()) else {
+            return;
+        };
+        client.asked |= matches!(asked, Ok(Asked::Alive(_) | Asked::Cancel(_) | Asked::Run(..)));
         match asked {
-            Ok(Asked::Nothing(why)) => cx.log.push(format!("bad message: {why}")),
+            Ok(Asked::Nothing) => {}
             Ok(Asked::Alive(id)) => {
                 put(&mut client.link, &format!(r#"{{"jsonrpc":"2.0","id":{id},"result":{{"pass":true}}}}"#));
             }
@@ -214,13 +375,12 @@
                 client.open.insert(id);
                 cx.heard.push(Heard::Asked(*ask));
             }
-            Err((id, (code, name), why)) => {
-                cx.log.push(format!("bad message: code={code} {why}"));
-                let id = id.map_or("null".to_owned(), |id| id.to_string());
-                let message = json::quoted(&format!("{name}: {why}"));
-                let error = format!(r#"{{"code":{code},"message":{message}}}"#);
-                put(&mut client.link, &format!(r#"{{"jsonrpc":"2.0","id":{id},"error":{error}}}"#));
+            Ok(Asked::Twice(id)) => {
+                // Any answer under this number could be taken for that of the other request.
+                self.wrong(key, (Some(id), INVALID, "id is in use"), cx);
+                self.leave(key, cx);
             }
+            Err(wrong) => self.wrong(key, wrong, cx),
         }
     }
 
@@ -241,12 +401,12 @@
             let place = || params.and_then(|p| p.as_array()).and_then(|list| list.first());
             return match param("id").or_else(place).and_then(|id| id.as_u64()) {
                 Some(id) => Ok(Asked::Cancel(id)),
-                None if notifies => Ok(Asked::Nothing("cancelRequest without an id")),
+                None if notifies => Ok(Asked::Nothing),
                 None => wrong(PARAMS, "id is not a number"),
             };
         }
-        if notifies {
-            return Ok(Asked::Nothing("not a known notification"));
+        if notifies && !self.classes.contains_key(method) {
+            return Ok(Asked::Nothing);
         }
         let Some(id) = number else { return wrong(INVALID, "id is not a number from 1") };
         if method == "alive" {
@@ -255,32 +415,37 @@
         let Some(class) = self.classes.get(method) else { return wrong(UNKNOWN, "no such class") };
         let client = self.clients.get(key);
         if client.is_none_or(|client| client.open.contains(&id)) {
-            return wrong(INVALID, "id is in use");
+            return Ok(Asked::Twice(id));
         }
         if client.is_none_or(|client| client.open.len() >= OPEN_MOST) {
             return wrong(INVALID, "too many open requests");
         }
         let text = |name: &str| param(name).and_then(|v| v.as_str());
-        let plain = |n: &&str| {
-            !n.is_empty() && n.len() <= NAME_MOST && n.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
-        };
-        let Some(name) = text("rid").filter(plain) else { return wrong(PARAMS, "rid") };
-        let Some(budget) = param("budget").and_then(json::number).filter(|ms| *ms > 0.0) else {
+        let hex = |n: &&str| n.len() == NAME_LENGTH && n.bytes().all(|b| b.is_ascii_hexdigit());
+        let Some(name) = text("rid").filter(hex) else { return wrong(PARAMS, "rid") };
+        let longest = self.budgets.get(class.0).copied().unwrap_or_default();
+        let Some(budget) = param("budget").and_then(json::number).filter(|ms| *ms > 0.0 && *ms <= longest)
+        else {
             return wrong(PARAMS, "budget");
         };
-        let estimate = |name: &str| match param(name) {
+        let estimate = |name: &str, most: f64| match param(name) {
             None | Some(OwnedValue::Static(StaticNode::Null)) => Ok(None),
-            Some(v) => json::number(v).filter(|v| *v >= 0.0).map(Some).ok_or((number, PARAMS, "estimate")),
+            Some(v) => {
+                let within = json::number(v).filter(|v| (0.0..=most).contains(v));
+                within.map(Some).ok_or((number, PARAMS, "estimate"))
+            }
         };
-        let (work_ms, memory_mb) = (estimate("est")?, estimate("memory")?);
+        let (work_ms, memory_mb) = (estimate("est", MOST_MS)?, estimate("memory", MOST_MB)?);
         let tenant = match param("acct") {
             None | Some(OwnedValue::Static(StaticNode::Null)) => None,
-            Some(v) => match v.as_str() {
-                Some(name) => Some(self.tenants.get(name).cloned().unwrap_or_else(|| Arc::from(name))),
+            Some(v) => match v.as_str().and_then(|name| self.tenants.get(name)) {
+                Some(name) => Some(name.clone()),
                 None => return wrong(PARAMS, "acct"),
             },
         };
-        let Some(statement) = text("doc").and_then(|doc| BASE64_STANDARD.decode(doc).ok()) else {
+        // A statement is text: an engine that can't read one closes, whatever else is open on that connection.
+        let statement = text("doc").and_then(|doc| BASE64_STANDARD.decode(doc).ok());
+        let Some(statement) = statement.filter(|s| !s.is_empty() && std::str::from_utf8(s).is_ok()) else {
             return wrong(PARAMS, "doc");
         };
         let ask = Ask {
@@ -322,6 +487,7 @@
             Answer::Failed | Answer::Error(_) => error(FAILED, "failed, it may have run"),
         };
         put(&mut client.link, &text);
+        client.since = cx.now;
         self.settle(asker.conn, cx);
         self.bound_total(cx);
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -219,7 +219,9 @@
     /// no longer than `most`, and for deadlines not at all.
     pub fn turn(&mut self, most: Duration) -> io::Result<()> {
         let from = self.clock.now();
+        let again = self.jsonrpc.take_again();
         let due = self.deadlines.first().map_or(f64::INFINITY, |at| (at - from).max(0.0));
+        let most = if again.is_empty() { most } else { Duration::ZERO };
         let wait = if self.clock.is_set() && due > 0.0 { most } else { most.min(millis(due)) };
         match self.poll.poll(&mut self.events, Some(wait)) {
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
@@ -229,7 +231,8 @@
         // What a poll finds at once may have come while the turn before was at work; what it waited for is fresh.
         let sent = if now - from < 0.2 { from } else { now } - TRANSIT_MS;
         let owners: Vec<Owner> = self.events.iter().filter_map(|event| Owner::of(event.token())).collect();
-        for owner in owners {
+        // Those that flood come last: whoever has something new to say is heard first.
+        for owner in owners.into_iter().chain(again.into_iter().map(Owner::JsonRpc)) {
             let now = self.clock.now();
             self.ready(owner, now, sent);
         }
@@ -267,7 +270,7 @@
 
     fn wake(&mut self, wake: Wake, now: f64) {
         let mut heard = Vec::new();
-        let Node { poll, deadlines, log, mysql, warehouses, bulletin, exchange, control, .. } = self;
+        let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, exchange, control, .. } = self;
         let registry = poll.registry();
         let mut cx = Cx { now, registry, deadlines, heard: &mut heard, log };
         match wake {
@@ -283,6 +286,7 @@
                 self.accept(Front::JsonRpc, now, now - ACCEPT_PAUSE_MS, &mut heard);
                 self.accept(Front::Mysql, now, now, &mut heard);
             }
+            Wake::Client(key) => jsonrpc.due(key, &mut cx),
             Wake::Ending => self.look_at_end(now, &mut heard),
             Wake::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.look(key, &mut cx)),
             Wake::MysqlLogin(key) => {
@@ -337,16 +341,15 @@
             let Node { poll, deadlines, log, jsonrpc, mysql, listeners, .. } = self;
             let Some((_, listener)) = listeners.iter().find(|(of, _)| *of == front) else { return };
             let clients = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len());
-            let full = clients >= self.client_sockets;
+            let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
+            // Guards against clients that ask once and stay, or never ask: they make room for those that come.
+            let full = clients >= self.client_sockets && !jsonrpc.make_room(&mut cx);
             let accepted = if full { Err(ErrorKind::QuotaExceeded.into()) } else { listener.accept() };
             match accepted {
-                Ok((stream, _)) => {
-                    let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
-                    match (front, mysql) {
-                        (Front::Mysql, Some((mysql, _))) => mysql.accept(stream, &mut cx),
-                        _ => jsonrpc.accept(stream, sent, &mut cx),
-                    }
-                }
+                Ok((stream, _)) => match (front, mysql) {
+                    (Front::Mysql, Some((mysql, _))) => mysql.accept(stream, &mut cx),
+                    _ => jsonrpc.accept(stream, sent, &mut cx),
+                },
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == ErrorKind::Interrupted || e.kind() == ErrorKind::ConnectionAborted => {}
                 Err(_) => {
--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -29,6 +29,8 @@
  "Contract":{"DrainGrace":250},"Limits":{"Cancel":true,"DialTimeout":250,"ConnIdle":15000,"SendCap":6},
  "Report":{"How":"inline","Fields":["outstanding"]}}"#;
 
+const LIMITS: &str = r#"{"cores":1,"memory_mb":192,"sockets":1024}"#;
+
 /// A connection of the test's side, with what has come on it.
 pub struct Peer {
     stream: TcpStream,
@@ -105,6 +107,27 @@
     }
 }
 
+/// The request id that stands for a name of the scenarios, such as `c1-2`: its letters as 16 hex digits.
+pub fn rid(name: &str) -> String {
+    let digits: String = name.bytes().map(|b| format!("{b:02x}")).collect();
+    format!("{digits:0<16}")
+}
+
+/// Puts names in the place of request ids, as the scenarios write them.
+fn named(line: &str) -> String {
+    let name = |word: &str| {
+        let digits = word.len() == 16 && word.bytes().all(|b| b.is_ascii_hexdigit());
+        let bytes = (0..8).map_while(|i| u8::from_str_radix(word.get(2 * i..2 * i + 2)?, 16).ok());
+        let text = bytes.take_while(|b| *b != 0).map(char::from).collect();
+        if digits {
+            text
+        } else {
+            word.to_owned()
+        }
+    };
+    line.split(' ').map(name).collect::<Vec<String>>().join(" ")
+}
+
 /// Whether a text is as the pattern says; `*` stands for anything.
 pub fn fits(pattern: &str, text: &str) -> bool {
     match pattern.split_once('*') {
@@ -157,7 +180,7 @@
     let targets: Vec<String> = engines.iter().enumerate().map(target).collect();
     format!(
         r#"{{"name":"n0","seed":"1f","bulletin":"{bulletin}",{more}
-        "limits":{{"cores":1,"memory_mb":192,"sockets":1024}},"settings":{SETTINGS},
+        "limits":{LIMITS},"settings":{SETTINGS},
         "known":{{"no":1,"items":[{{"no":1,"roster":{{"rev":1,"all":true,"targets":[{}]}}}}]}}}}"#,
         targets.join(",")
     )
@@ -176,9 +199,18 @@
 
     /// A node with so many warehouses; `more` goes into its configuration.
     pub fn new(warehouses: usize, more: &str) -> Stage {
+        Stage::limited(warehouses, more, LIMITS)
+    }
+
+    /// A node with the platform's front under these limits.
+    pub fn with_limits(warehouses: usize, limits: &str) -> Stage {
+        Stage::limited(warehouses, r#""listen":"127.0.0.1:0","#, limits)
+    }
+
+    fn limited(warehouses: usize, more: &str, limits: &str) -> Stage {
         let houses: Vec<House> = (0..warehouses).map(|_| House::new()).collect();
         let list = House::new();
-        let text = configured(&houses, &list, more);
+        let text = configured(&houses, &list, more).replace(LIMITS, limits);
         let secret = |name: &str| (name == "SECRET").then(|| "frost".to_owned());
         let config = Config::read(text.into_bytes(), &secret).expect("a good configuration");
         let clock = Clock::fixed(START);
@@ -262,8 +294,9 @@
             ["ask", id, class, budget, statement] => {
                 let doc = BASE64_STANDARD.encode(statement);
                 format!(
-                    r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"rid":"{client}-{id}",
-                    "budget":{budget},"acct":"leinster","est":20.0,"memory":8,"doc":"{doc}"}}}}"#
+                    r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"rid":"{}",
+                    "budget":{budget},"acct":"leinster","est":20.0,"memory":8,"doc":"{doc}"}}}}"#,
+                    rid(&format!("{client}-{id}"))
                 )
             }
             ["cancel", id] => {
@@ -274,6 +307,11 @@
         peer.push(format!("Content-Length: {}\r\n\r\n{message}", message.len()).as_bytes());
     }
 
+    /// Whether a client has another answer.
+    pub fn answered(&mut self, client: &str) -> bool {
+        self.clients.get_mut(client).is_some_and(|peer| peer.message().is_some())
+    }
+
     fn heard_by_client(&mut self, client: &str, pattern: &str, line: &str) -> bool {
         let peer = self.clients.get_mut(client).expect("a client that has sent");
         if pattern == "closed" {
@@ -287,7 +325,7 @@
     fn heard_by_warehouse(&mut self, pattern: &str, line: &str) -> bool {
         for (h, house) in self.houses.iter_mut().enumerate() {
             for (c, peer) in house.conns.iter_mut().enumerate() {
-                if let Some(got) = peer.line() {
+                if let Some(got) = peer.line().as_deref().map(named) {
                     assert!(fits(pattern, &got), "{line}: got {got}");
                     self.current = (h, c);
                     return true;
@@ -301,9 +339,14 @@
     fn reply(&mut self, text: &str) {
         let words: Vec<&str> = text.splitn(4, ' ').collect();
         let body = words.get(3).unwrap_or(&"");
-        let line = format!("{} {}\r\n{body}\r\n", words[..3].join(" "), body.len());
+        let line = format!("{} {}\r\n{body}\r\n", words[1..3].join(" "), body.len());
         let (house, conn) = self.current;
-        self.houses[house].conns[conn].push(line.as_bytes());
+        self.houses[house].conns[conn].push(format!("{} {line}", rid(words[0])).as_bytes());
+    }
+
+    /// Writes bytes of an answer to the request so named, spoilt or not, on a connection of the first warehouse.
+    pub fn push(&mut self, conn: usize, name: &str, bytes: &[u8]) {
+        self.houses[0].conns[conn].push(&[rid(name).as_bytes(), b" ", bytes].concat());
     }
 
     /// `NUMBER STATE [ADDRESS-OF]`: a change of the warehouse that spoke last, once the node has connected.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -183,19 +183,19 @@
     let mut client = TcpStream::connect(&address).unwrap();
     ask(
         &mut client,
-        r#"{"jsonrpc":"2.0","id":1,"method":"delivery-load","params":{"rid":"ab","budget":25000,"doc":"eA=="}}"#,
+        r#"{"jsonrpc":"2.0","id":1,"method":"delivery-load","params":{"rid":"00000000000000ab","budget":25000,"doc":"eA=="}}"#,
     );
     let (mut box_side, _) = warehouse.accept().unwrap();
     let mut want = String::new();
     BufReader::new(box_side.try_clone().unwrap()).read_line(&mut want).unwrap();
-    assert!(want.starts_with("want ab profile=delivery-load,"), "{want}");
+    assert!(want.starts_with("want 00000000000000ab profile=delivery-load,"), "{want}");
     let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
     assert!(killed.success());
     until("n0 ending: open=1");
     let mut late = TcpStream::connect(&address).unwrap();
     ask(&mut late, r#"{"jsonrpc":"2.0","id":1,"method":"alive"}"#);
     assert_eq!(answer(late), r#"{"jsonrpc":"2.0","id":1,"result":{"pass":true}}"#);
-    box_side.write_all(b"ab served pages=1 6\r\na\tb\tc\n\r\n").unwrap();
+    box_side.write_all(b"00000000000000ab served pages=1 6\r\na\tb\tc\n\r\n").unwrap();
     assert_eq!(answer(client), r#"{"jsonrpc":"2.0","id":1,"result":{"doc":"YQliCWMK"}}"#);
     assert!(child.wait().unwrap().success());
     std::fs::remove_file(file("term")).unwrap();
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -103,7 +103,7 @@
         w expect want c1-1 *",
     );
     assert_eq!(stage.houses[0].conns.len(), 2, "the second attempt has a connection of its own");
-    stage.houses[0].conns[0].push(b"c1-1 served pages=1 7\r\nlate\t\t\n\r\n");
+    stage.push(0, "c1-1", b"served pages=1 7\r\nlate\t\t\n\r\n");
     stage.go("c1 wait silent
         w send c1-1 served pages=1 x\\t\\t\\n
         c1 expect 1 served x\\t\\t\\n
@@ -204,12 +204,14 @@
         c1 expect null error -32600
         c1 send {"jsonrpc":"2.0","id":4,"method":"no-such"}
         c1 expect 4 error -32601
-        c1 send {"jsonrpc":"2.0","id":5,"method":"lookup","params":{"rid":"a b","budget":5,"doc":""}}
+        c1 send {"jsonrpc":"2.0","id":5,"method":"lookup","params":{"rid":"a b","budget":5,"doc":"eA=="}}
         c1 expect 5 error -32602
-        c1 send {"jsonrpc":"2.0","id":6,"method":"lookup","params":{"rid":"ab","budget":-5,"doc":""}}
+        c1 send {"jsonrpc":"2.0","id":6,"method":"lookup","params":{"budget":5,"doc":"eA=="}}
         c1 expect 6 error -32602
-        c1 send {"jsonrpc":"2.0","id":7,"method":"lookup","params":{"rid":"ab","budget":5,"doc":"?"}}
+        c1 send {"jsonrpc":"2.0","id":7,"method":"lookup","params":{"rid":"00000000000000ab","budget":5,"doc":"?"}}
         c1 expect 7 error -32602
+        c1 send {"jsonrpc":"2.0","method":"lookup","params":{"rid":"00000000000000ab","budget":5,"doc":"eA=="}}
+        c1 expect null error -32600
         c1 send {"jsonrpc":"2.0","method":"some-notification"}
         c1 send {"jsonrpc":"2.0","method":"cancelRequest","params":{"id":"x"}}
         c1 send {"jsonrpc":"2.0","id":9,"method":"cancelRequest","params":{"id":"x"}}
@@ -217,9 +219,12 @@
         c1 send ask 8 lookup 2500 select 1 from s_1.t
         c1 send ask 8 lookup 2500 select 1 from s_1.t
         c1 expect 8 error -32600
+        c1 expect closed
         c2 send raw Content-Length: x\r\n\r\n
+        c2 expect null error -32700
         c2 expect closed
         c3 send raw Content-Length: 99999999\r\n\r\n
+        c3 expect null error -32700
         c3 expect closed"#,
     );
 }
@@ -239,7 +244,7 @@
         c2 expect 1 served y\\t\\t\\n
         clock wait 400");
     assert!(!stage.node.ended(), "one request is still open");
-    stage.houses[0].conns[0].push(b"c1-1 served pages=1 4\r\nx\t\t\n\r\n");
+    stage.push(0, "c1-1", b"served pages=1 4\r\nx\t\t\n\r\n");
     stage.go("c1 expect 1 served x\\t\\t\\n
         clock wait 60");
     assert!(stage.node.ended());
@@ -300,7 +305,7 @@
     let mut seed = 7;
     let mut stage = Stage::new(1, r#""listen":"127.0.0.1:0","#);
     let address = stage.node.address(beamgap::node::exchange::Front::JsonRpc).unwrap();
-    let body = r#"{"jsonrpc":"2.0","id":3,"method":"lookup","params":{"rid":"ab12","budget":900,"acct":"x",
+    let body = r#"{"jsonrpc":"2.0","id":3,"method":"lookup","params":{"rid":"00000000000000ab","budget":900,"acct":"leinster",
         "est":1e3,"memory":2,"doc":"c2VsZWN0IDEgZnJvbSBzXzEudA=="}}"#;
     let good = format!("Content-Length: {}\r\n\r\n{body}", body.len());
     for _ in 0..600 {
@@ -322,7 +327,8 @@
         (0..4).for_each(|_| stage.turn());
         stage.clock.set(stage.clock.now() + 300.0);
         for peer in &mut stage.houses[0].conns {
-            let line = format!("c{round}-1 {}c{round}-1 rows page=9 1\r\nx\r\n", answers[round as usize % 2]);
+            let id = stage::rid(&format!("c{round}-1"));
+            let line = format!("{id} {}{id} rows page=9 1\r\nx\r\n", answers[round as usize % 2]);
             peer.push(&spoil(line.as_bytes(), &mut seed));
         }
         stage.houses[0].conns.retain(|peer| !peer.closed);
@@ -356,27 +362,27 @@
 fn a_spoilt_answer_costs_its_connection_and_is_never_passed_on() {
     // Guards against warehouses and networks that spoil answers: noise, lengths that do not fit, huge claims, pages
     // that are no whole rows of three columns. The load on the connection may have run and ends at once.
-    let endless = [b"c1-1 served pages=1 ".as_slice(), &[b'9'; 2000]].concat();
+    let endless = [b"served pages=1 ".as_slice(), &[b'9'; 2000]].concat();
     for spoilt in [
         b"\x00\xff\x13noise\r\n".as_slice(),
         &endless,
-        b"c1-1 served pages=1 3000000000\r\n",
-        b"c1-1 served pages=1 6\r\na\tb\tc\nd\r\n",
-        b"c1-1 served pages=1 9\r\na\tb\tc\n\r\nc1-1 update - 0\r\n\r\n",
-        b"c1-1 served pages=1 4\r\na\tb\n\r\n",
-        b"c1-1 served pages=1 5\r\na\tb\tc\r\n",
-        b"c1-1 served pages=1 6\r\na\tb\t\xff\n\r\n",
-        b"c1-1 served pages=999999 6\r\na\tb\tc\n\r\n",
-        b"c1-1 served - 6\r\na\tb\tc\n\r\n",
-        b"c1-1 servod pages=1 6\r\na\tb\tc\n\r\n",
-        b"c1-1 served pages=1\r\n",
+        b"served pages=1 3000000000\r\n",
+        b"served pages=1 6\r\na\tb\tc\nd\r\n",
+        b"served pages=1 9\r\na\tb\tc\n\r\n6331 update - 0\r\n\r\n",
+        b"served pages=1 4\r\na\tb\n\r\n",
+        b"served pages=1 5\r\na\tb\tc\r\n",
+        b"served pages=1 6\r\na\tb\t\xff\n\r\n",
+        b"served pages=999999 6\r\na\tb\tc\n\r\n",
+        b"served - 6\r\na\tb\tc\n\r\n",
+        b"servod pages=1 6\r\na\tb\tc\n\r\n",
+        b"served pages=1\r\n",
     ] {
         let mut stage = Stage::play(
             1,
             "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
             w expect want c1-1 *",
         );
-        stage.houses[0].conns[0].push(spoilt);
+        stage.push(0, "c1-1", spoilt);
         stage.go("c1 expect 1 error -32010\nc1 wait silent");
         stage.expect("the close", |stage| stage.houses[0].conns[0].closed);
     }
@@ -390,7 +396,7 @@
         "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
         w expect want c1-1 *",
     );
-    stage.houses[0].conns[0].push(b"c1-1 served pages=1 6\r\na\t");
+    stage.push(0, "c1-1", b"served pages=1 6\r\na\t");
     stage.go("c1 wait silent\nclock wait 1000\nc1 expect 1 error -32010");
 }
 
@@ -430,3 +436,90 @@
     );
     assert_eq!(stage.houses[0].conns.len(), 2);
 }
+
+#[test]
+fn figures_and_names_that_cannot_be_are_turned_down_before_an_engine_sees_them() {
+    // Guards the engines' connections: what an engine can't read makes it close, whatever else is open there.
+    let mut stage = Stage::new(1, r#""listen":"127.0.0.1:0","#);
+    let good = r#"{"jsonrpc":"2.0","id":1,"method":"lookup","params":{"rid":"00000000000000ab","budget":900,
+        "acct":"leinster","est":10.5,"memory":2,"doc":"eA=="}}"#
+        .replace('\n', "");
+    for (from, to) in [
+        ("900", "1e18"),
+        ("900", "-5"),
+        ("900", "\"900\""),
+        ("10.5", "-1"),
+        ("10.5", "1e300"),
+        ("10.5", "true"),
+        ("\"memory\":2", "\"memory\":1e12"),
+        ("leinster", "nobody"),
+        ("ab\"", "xy\""),
+        ("eA==", ""),
+        ("eA==", "/w=="),
+    ] {
+        stage.go(&format!("c1 send {}\nc1 expect 1 error -32602\nw wait silent", good.replace(from, to)));
+    }
+    stage.go(&format!("c1 send {good}\nw expect want *"));
+}
+
+#[test]
+fn clients_that_say_nothing_or_half_a_thing_are_let_go_in_time() {
+    // Guards the descriptors: a client is owed a word or a close within 3 s, and one that has asked may stay.
+    Stage::play(
+        1,
+        r#"c1 send raw Content-Le
+        c2 send raw Content-Length: 50\r\n\r\n{"json
+        c3 send raw \n
+        c4 send {"jsonrpc":"2.0","id":1,"method":"alive"}
+        c4 expect {"jsonrpc":"2.0","id":1,"result":{"pass":true}}
+        clock wait 1900
+        c1 wait silent
+        clock wait 200
+        c1 expect null error -32600
+        c1 expect closed
+        c2 expect null error -32600
+        c2 expect closed
+        c3 expect null error -32600
+        clock wait 9000
+        c4 send {"jsonrpc":"2.0","id":2,"method":"alive"}
+        c4 expect {"jsonrpc":"2.0","id":2,"result":{"pass":true}}"#,
+    );
+}
+
+#[test]
+fn those_who_come_are_let_in_where_the_descriptors_are_all_held() {
+    // Guards against clients that ask once and keep their connection: 32 descriptors are 16 for clients.
+    let mut stage = Stage::with_limits(1, r#"{"memory_mb":32,"sockets":32}"#);
+    stage.go("busy send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want busy-1 *");
+    for client in 0..40 {
+        stage.go(&format!(
+            r#"c{client} send {{"jsonrpc":"2.0","id":1,"method":"alive"}}
+            c{client} expect {{"jsonrpc":"2.0","id":1,"result":{{"pass":true}}}}
+            clock wait 10"#
+        ));
+    }
+    stage.go("c0 expect closed
+        w send busy-1 served pages=1 x\\t\\t\\n
+        busy expect 1 served x\\t\\t\\n");
+}
+
+#[test]
+fn a_client_that_floods_leaves_the_others_their_turn() {
+    // Guards against one connection that is worked off to its end while all others wait.
+    let mut stage = Stage::new(1, r#""listen":"127.0.0.1:0","#);
+    let message = r#"{"jsonrpc":"2.0","id":1,"method":"no-such"}"#;
+    let flood = format!("Content-Length: {}\\r\\n\\r\\n{message}", message.len()).repeat(400);
+    stage.go(&format!("c1 send raw {flood}"));
+    stage.go(r#"c2 send {"jsonrpc":"2.0","id":1,"method":"alive"}
+        c2 expect {"jsonrpc":"2.0","id":1,"result":{"pass":true}}"#);
+    let mut answers = 0;
+    while stage.answered("c1") {
+        answers += 1;
+    }
+    assert!(answers < 400, "the flood was worked off first");
+    stage.expect("the rest of the flood", |stage| {
+        answers += usize::from(stage.answered("c1"));
+        answers == 400
+    });
+}
