Blame an engine for errors only once another engine has served the same request

Cause: decide.rs judge() took every Error for a sign against the engine, and closed() sent such a request to up to six of them. Change: an Error counts once another engine served the request; after errors from two engines a request is given up.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod health;
 pub mod standing;
 
 const GAMMA: f64 = 1.0; // quota; weight of a flag's entropy in its price: the paper's
@@ -61,13 +62,10 @@
 const SILENCE_NOTES: f64 = 1.3; // times the pause between notes after which silence is sure
 const EJECT_FIRST: Micros = Micros::from_millis(1000); // first rest of an ejected engine: short, if in error
 const EJECT_LONGEST: Micros = Micros::from_millis(8000); // longest rest: troubles last some tens of seconds
-const DOUBT_FULL: f64 = 2.0; // log odds; ejects: one bad sign where few come; trust is saved up no further
-const SICK_MS: f64 = 10_000.0; // ms; half-life of the fleet's share of bad signs
-const SICK_LEAST: f64 = 0.02; // share of bad signs that any fleet has: bad plans, wrong estimates
 const PRIOR_ATTEMPTS: f64 = 5.0; // attempts that this is worth, and the share that meets no line
-const EJECT_SHARE: f64 = 0.5; // share of the fleet that may be out for anything but lost connections
 const EXTRA_SHARE: f64 = 0.2; // further attempts that a request earns: overload lets them lapse
 const EXTRA_MOST: f64 = 30.0; // further attempts saved up: one engine's work in hand
+const ERRORS_MOST: usize = 2; // engines that may answer a request with an error: then it is the request's fault
 const HEDGE_TIMES: f64 = 3.0; // times its expected time after which a light query is copied
 const HEDGE_LEAST_MS: f64 = 250.0; // ms; and not before this
 const BAD_PLAN: f64 = 4.0; // times what was expected; past the scatter of estimates
@@ -778,6 +776,7 @@
         }
         let work_ms = self.jobs[&seq].work_ms;
         tells.then(|| self.judge(e, c.outcome, doubted, work_ms, out));
+        self.blame_errors(seq, c.outcome, out);
         let job = &self.jobs[&seq];
         if c.request_over || job.over {
             self.wind_up(seq, out);
@@ -785,7 +784,7 @@
             let open = |e: usize| self.may_send(seq, e) || self.engines[e].started.is_some();
             let any = self.ranked(job).into_iter().any(open);
             let late = self.now.plus(LAST_CALL) >= job.deadline;
-            if late || (job.wasted() && self.extra < 1.0) || !any {
+            if late || (job.wasted() && self.extra < 1.0) || !any || job.errors().count() >= ERRORS_MOST {
                 self.give_up(seq, out);
             } else {
                 self.dispatch(seq, out);
@@ -903,69 +902,7 @@
         }
     }
 
-    // ---- health: one sum of evidence ----
-
-    fn judge(&mut self, e: usize, outcome: Outcome, doubted: bool, work_ms: f64, out: &mut Vec<Action>) {
-        let (now, engine) = (self.now, &mut self.engines[e]);
-        match outcome {
-            Outcome::Served => {
-                if engine.lost_in_row >= 2 {
-                    engine.started = Some(now); // Connections failed, now it answers: started anew, cold.
-                }
-                engine.lost_in_row = 0;
-                (!doubted).then(|| self.weigh(e, false, "", out));
-            }
-            Outcome::Full => self.met_line(e, work_ms),
-            Outcome::ConnectFailed => {
-                (engine.lost_in_row, engine.lost_at) = (engine.lost_in_row + 1, Some(now));
-                engine.started = Some(now); // What takes no connection starts anew, and cold.
-                self.weigh(e, true, "connections fail", out);
-                (self.engines[e].lost_in_row >= 2).then(|| self.eject(e, "connections fail", true, out));
-            }
-            Outcome::Error | Outcome::Reset => self.weigh(e, true, "answers with errors", out),
-            _ => {}
-        }
-    }
-
-    /// Weighs a sign against an engine (error, reset, no connection, no answer within patience) or for it, by
-    /// how much likelier a sick engine shows it than the rest of the fleet now. What all share ejects nobody;
-    /// where few signs come, one bad sign that no other engine shows is enough for a short rest.
-    fn weigh(&mut self, e: usize, bad: bool, why: &str, out: &mut Vec<Action>) {
-        let (now, engine) = (self.now, &mut self.engines[e]);
-        let (own, least) = (engine.signs.at(now, SICK_MS).0, SICK_LEAST);
-        let share =
-            self.signs.share_without(&engine.signs, now, SICK_MS, least, PRIOR_ATTEMPTS).clamp(least, 0.95);
-        let step = if bad { ((1.0 + share) / (2.0 * share)).ln() } else { -std::f64::consts::LN_2 };
-        engine.doubt = (engine.doubt * fade(now.since(engine.weighed), RECENT_MS) + step).max(-DOUBT_FULL);
-        engine.weighed = now;
-        engine.signs.count(now, bad, SICK_MS);
-        self.signs.count(now, bad, SICK_MS);
-        let half = engine.health == Health::HalfOpen;
-        if bad && (half || engine.doubt > DOUBT_FULL + (1.0 + own * share).ln()) {
-            self.eject(e, why, false, out);
-        } else if half && !bad {
-            (engine.health, engine.doubt) = (Health::Well, 0.0);
-            engine.strikes = engine.strikes.saturating_sub(1);
-        }
-    }
-
-    fn eject(&mut self, e: usize, why: &str, surely: bool, out: &mut Vec<Action>) {
-        let listed = self.engines.iter().filter(|x| x.listed).count() as f64;
-        let gone = self.engines.iter().filter(|x| x.listed && x.health != Health::Well).count() as f64;
-        let engine = &mut self.engines[e];
-        let bounded = !surely && engine.health == Health::Well && gone + 1.0 > EJECT_SHARE * listed;
-        if bounded || matches!(engine.health, Health::Ejected(_)) {
-            return;
-        }
-        let rest = Micros(EJECT_FIRST.0 << engine.strikes.min(3)).min(EJECT_LONGEST);
-        engine.strikes += 1;
-        engine.health = Health::Ejected(self.now.plus(rest));
-        if self.now >= self.log_after {
-            self.log_after = self.now.plus(EJECT_FIRST);
-            let (name, ms) = (&engine.member.engine.0, rest.0 / 1000);
-            out.push(Action::Log(format!("eject {name} for {ms} ms: {why}")));
-        }
-    }
+    // ---- the tick ----
 
     fn tick(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -226,6 +226,10 @@
     pub fn open(&self) -> usize {
         self.tries.iter().filter(|t| t.end.is_none()).count()
     }
+    /// The engines that answered it with an error.
+    pub fn errors(&self) -> impl Iterator<Item = usize> + '_ {
+        self.tries.iter().filter(|t| t.end == Some(Outcome::Error)).map(|t| t.engine)
+    }
     /// Marks every open attempt as called off; names those that were not yet.
     pub fn call_off(&mut self) -> Vec<Attempt> {
         let open = self.tries.iter_mut().enumerate().filter(|(_, t)| t.end.is_none() && !t.cancelled);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -230,3 +230,20 @@
     assert_eq!(cancelled(&seen), 1, "only the lost one is called off");
     assert_eq!(sent(&b.close("gone", 0, &at, Outcome::Cancelled, 900)).len(), 1);
 }
+
+#[test]
+fn a_request_that_no_engine_can_run_puts_no_engine_aside() {
+    // Clients that ask for what cannot be run had engines ejected in turn, and each such request tried six times.
+    let mut b = Bench::new(settings(), fleet(4));
+    for n in 0..20 {
+        let id = format!("bad{n}");
+        let mut actions = b.arrive(request(&id, 0, n, 4000));
+        for attempt in 0..2 {
+            let at = sent(&actions).first().cloned().expect("an engine is tried");
+            actions = b.close(&id, attempt, &at, Outcome::Error, 5);
+            assert!(!actions.iter().any(|a| matches!(a, Action::Log(_))), "{actions:?}");
+        }
+        assert_eq!((sent(&actions).len(), refused(&actions)), (0, 1), "two engines are enough");
+        b.pass(50);
+    }
+}
