Confirm cancels before a resend; leave connections that die while quiet

Cause: exchange.rs apply(Cancel) ended the attempt at once, so the next want could be read before never_mind, which goes by another connection. For the resets a trace of idle times: none to 1% under 100 ms of quiet, 22 to 28% from 100 to 600 ms, under 2% on new connections; the reset came 0.1 ms after the request. So quiet connections die unseen. Change: a there behind never_mind, the attempt ends with its green or after 100 ms; loads go by new connections; the quiet time that a reset shows is kept to per engine for 10 s; a reset is no sign against an engine (ejections of half the fleet in turn); places of engines gone are used again.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -216,7 +216,9 @@
 
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: &mut Vec<Action>) {
         self.list = Backoff::default();
-        self.engines.iter_mut().for_each(|e| e.listed &= kind == ListKind::Changes);
+        if kind != ListKind::Changes {
+            self.engines.iter_mut().for_each(|e| (e.listed, e.member.state) = (false, MemberState::Gone));
+        }
         let lets_in = self.settings.when_short == WhenShort::LetIn;
         let start = if lets_in { BOUND_CAREFUL } else { BOUND_START };
         for member in members {
@@ -225,9 +227,8 @@
                 |of: fn(&KindSettings) -> Option<f64>| of(&self.settings.kinds[kind?]).filter(|f| *f > 0.0);
             let cores = stated(|k| k.cores).unwrap_or(CORES_UNSTATED);
             let memory_mb = stated(|k| k.memory_mb).unwrap_or(MEMORY_UNSTATED);
-            let e = *self.index.entry(member.engine.clone()).or_insert(self.engines.len());
-            let new = e == self.engines.len();
-            new.then(|| self.engines.push(Engine::new(&member.engine)));
+            let known = self.index.get(&member.engine).copied();
+            let (new, e) = (known.is_none(), known.unwrap_or_else(|| self.place(&member.engine)));
             let engine = &mut self.engines[e];
             if new || member.started > engine.started {
                 engine.restarted(member.started, start * cores);
@@ -246,6 +247,24 @@
         self.pump(out);
     }
 
+    /// A place for an engine not known before: that of one that is gone and that no request in mind was sent to, so
+    /// that a long day of replacements does not make the table grow.
+    fn place(&mut self, id: &EngineId) -> usize {
+        let gone = |e: &Engine| e.member.state == MemberState::Gone;
+        let used = |e: usize| self.jobs.values().any(|job| job.tried(e));
+        let free = (0..self.engines.len()).find(|e| gone(&self.engines[*e]) && !used(*e));
+        let e = free.unwrap_or(self.engines.len());
+        if free.is_some() {
+            self.index.remove(&self.engines[e].member.engine);
+            self.blocked.retain(|(held, _), _| *held != e);
+            self.engines[e] = Engine::new(id);
+        } else {
+            self.engines.push(Engine::new(id));
+        }
+        self.index.insert(id.clone(), e);
+        e
+    }
+
     // ---- a request's path: arrival ----
 
     fn arrived(&mut self, mut request: Request, out: &mut Vec<Action>) {
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -32,7 +32,6 @@
                 self.weigh(e, true, "connections fail", out);
                 (self.engines[e].lost_in_row >= 2).then(|| self.eject(e, "connections fail", true, out));
             }
-            Outcome::Reset => self.weigh(e, true, "connections break", out),
             _ => {}
         }
     }
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -36,6 +36,11 @@
         standings
     }
 
+    /// Engines in mind: those listed, and those gone to which work in mind was sent.
+    pub fn engines_held(&self) -> usize {
+        self.engines.len()
+    }
+
     /// The share of the work asked for that is admitted now, from 0 to 1; 0 where no engine takes any.
     pub fn admitted_share(&self) -> f64 {
         if self.engines.iter().any(|e| e.listed && !matches!(e.health, Health::Ejected(_))) {
--- a/src/node/backend/mysql.rs
+++ b/src/node/backend/mysql.rs
@@ -217,9 +217,17 @@
         Some(key)
     }
 
+    /// Whether an attempt is here.
+    pub fn carries(&self, at: AttemptRef) -> bool {
+        self.placed.contains_key(&at)
+    }
+
     /// Gives an attempt up: takes it back if it is not sent, else has the box kill it. The connection goes with it,
     /// so that a late answer finds nobody.
-    pub fn give_up(&mut self, at: AttemptRef, cx: &mut Cx) {
+    pub fn give_up(&mut self, at: AttemptRef, again: bool, cx: &mut Cx) {
+        if again {
+            cx.heard.push(Heard::Ended(Ended::bare(at, Outcome::Cancelled)));
+        }
         let Some(key) = self.placed.remove(&at) else { return };
         let Some(conn) = self.conns.get_mut(key) else { return };
         let sent = conn.job.take().is_some_and(|job| job.sent);
--- a/src/node/backend/roster.rs
+++ b/src/node/backend/roster.rs
@@ -15,6 +15,8 @@
     pub state: MemberState,
     /// The connections to it.
     pub links: Vec<Key>,
+    /// How long a connection to it may be quiet and still be used, and until when that is believed.
+    pub keeps: Option<(f64, f64)>,
 }
 
 /// The engines by id. An address may pass from one id to another; nothing is keyed by it.
@@ -33,7 +35,7 @@
         for listing in listings {
             let (address, state) = (listing.address, listing.member.state);
             let id = &listing.member.engine;
-            let new = || Engine { address, state, links: Vec::new() };
+            let new = || Engine { address, state, links: Vec::new(), keeps: None };
             let engine = self.0.entry(id.clone()).or_insert_with(new);
             if engine.address != address {
                 stale.extend(&engine.links);
@@ -61,6 +63,12 @@
         self.0.get(id).map(|engine| engine.address)
     }
 
+    /// How long a connection to an engine may be quiet and still be used, as far as resets have shown.
+    pub fn keeps(&self, id: &EngineId, now: f64) -> f64 {
+        let keeps = self.0.get(id).and_then(|engine| engine.keeps).filter(|(_, until)| now < *until);
+        keeps.map_or(f64::INFINITY, |(ms, _)| ms)
+    }
+
     /// An engine, whatever its state.
     pub fn get_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
         self.0.get_mut(id)
--- a/src/node/backend/warehouse.rs
+++ b/src/node/backend/warehouse.rs
@@ -23,8 +23,12 @@
 const BODY_MOST: usize = 6000; // of a page, as the platform promises; more is a length that does not fit
 const PAGES_MOST: usize = 64; // likewise: eight full pages, more where rows are long
 const RESULT_MOST: usize = 48_000; // likewise
+const KEEPS_PART: f64 = 0.8; // of the quiet after which a connection was found dead, others are trusted
+const KEEPS_LEAST: f64 = 50.0; // after less, a reset is no sign that quiet connections die
+const KEEPS_FOR: f64 = 10_000.0; // that this is believed: then one more reset shows whether it still holds
 const SPENT_MOST: usize = 512; // names given up on one connection; beyond, it is left to run dry
 const LINKS_MOST: usize = 12; // connections to one warehouse: as many as a node has attempts there, as a rule
+const CONFIRM_MS: f64 = 100.0; // that a cancel waits for its confirmation: a machine that is cut off gives none
 const MOVES_MOST: u8 = 2; // connections that a `want` may lose before a byte of it is written
 
 #[derive(Debug)]
@@ -41,6 +45,7 @@
     at: AttemptRef,
     name: Arc<str>,
     bytes: Vec<u8>,
+    once: bool,
     moves: u8,
 }
 
@@ -52,11 +57,16 @@
     since: f64,
     heard: f64,
     next_look: Option<Handle>,
+    /// When it last carried a byte, and how long it had been quiet before the last request on it.
+    used: f64,
+    quiet: f64,
     /// When `there` was asked, while it is not answered.
     asked: Option<f64>,
     /// Not one byte of these has been written: whatever ends them, they never ran.
     wants: VecDeque<Want>,
     open: HashMap<Arc<str>, Attempt>,
+    /// Attempts called off, with the tag whose `green` tells that the engine has read so, and since when.
+    called_off: VecDeque<(String, AttemptRef, f64)>,
     /// Names given up here, of which a late line may still come.
     spent: HashSet<Arc<str>>,
 }
@@ -76,11 +86,12 @@
 /// The pool of warehouse connections.
 #[derive(Debug)]
 pub struct Warehouses {
-    classes: Vec<String>,
+    classes: Vec<(String, bool)>,
     dial_ms: f64,
     idle_ms: f64,
     streams: usize,
     sockets: usize,
+    tags: u64,
     roster: Roster,
     conns: Slots<Conn>,
     placed: HashMap<AttemptRef, (Key, Arc<str>)>,
@@ -173,9 +184,10 @@
 }
 
 impl Warehouses {
-    /// A pool with no warehouses yet. `sockets` is how many descriptors it may take.
+    /// A pool with no warehouses yet. Classes by name, and whether they must not run twice; `sockets` is how many
+    /// descriptors it may take.
     pub fn new(
-        classes: Vec<String>,
+        classes: Vec<(String, bool)>,
         dial_ms: f64,
         idle_ms: f64,
         streams: usize,
@@ -187,6 +199,7 @@
             idle_ms: idle_ms * IDLE_PART,
             streams,
             sockets,
+            tags: 0,
             roster: Roster::default(),
             conns: Slots::default(),
             placed: HashMap::new(),
@@ -226,9 +239,10 @@
     /// Begins an attempt.
     pub fn start(&mut self, start: Start, cx: &mut Cx) {
         let at = start.attempt;
+        let once = self.classes.get(start.class.0).is_some_and(|(_, once)| *once);
         let outcome = match self.roster.serving(&start.engine) {
-            Some(_) => match self.choose(&start.engine, &start.name, cx) {
-                Some(key) => return self.queue(key, start, cx),
+            Some(_) => match self.choose(&start.engine, &start.name, once, cx) {
+                Some(key) => return self.queue(key, start, once, cx),
                 None => Outcome::ConnectFailed,
             },
             // The list changed between the decision and now.
@@ -237,9 +251,9 @@
         cx.heard.push(Heard::Ended(Ended::bare(at, outcome)));
     }
 
-    fn queue(&mut self, key: Key, start: Start, cx: &mut Cx) {
+    fn queue(&mut self, key: Key, start: Start, once: bool, cx: &mut Cx) {
         let Some(conn) = self.conns.get_mut(key) else { return };
-        let class = self.classes.get(start.class.0).map_or("", String::as_str);
+        let class = self.classes.get(start.class.0).map_or("", |(name, _)| name);
         let mut head = format!("want {} profile={class},max={}", start.name, start.max_ms.floor().max(1.0));
         if start.memory_mb > 0 {
             head.push_str(&format!(",mem={}", start.memory_mb));
@@ -248,18 +262,22 @@
         head.push_str(&format!(",prio={} {}\r\n", start.priority.min(3), statement.len()));
         let bytes = [head.as_bytes(), statement, b"\r\n"].concat();
         self.placed.insert(start.attempt, (key, start.name.clone()));
-        conn.wants.push_back(Want { at: start.attempt, name: start.name, bytes, moves: 0 });
+        conn.wants.push_back(Want { at: start.attempt, name: start.name, bytes, once, moves: 0 });
         self.flush(key, cx);
     }
 
     /// An idle connection that never carried this name before, else a new one, else the least loaded: a connection
-    /// that is spoilt or cut off takes all that is open on it along, so each is to carry little.
-    fn choose(&mut self, id: &EngineId, name: &Arc<str>, cx: &mut Cx) -> Option<Key> {
+    /// that is spoilt or cut off takes all that is open on it along, so each is to carry little. What must not run
+    /// twice goes by a new one where it can: one that was idle may be reset as the request comes, and nobody can tell
+    /// whether it was read.
+    fn choose(&mut self, id: &EngineId, name: &Arc<str>, once: bool, cx: &mut Cx) -> Option<Key> {
+        let keeps = self.roster.keeps(id, cx.now);
         let fits = |conn: &Conn| {
+            let quiet = cx.now - conn.used > keeps;
             let suspect = conn.asked.is_some_and(|at| cx.now - at > SUSPECT_MS);
             // A late line of an attempt given up must not pass for the answer of the next.
             let clean = !conn.spent.contains(name) && !conn.open.contains_key(name);
-            !suspect && clean && conn.load() < self.streams && conn.spent.len() < SPENT_MOST
+            !suspect && !quiet && clean && conn.load() < self.streams && conn.spent.len() < SPENT_MOST
         };
         let fitting =
             self.roster.links(id).iter().copied().filter(|key| self.conns.get(*key).is_some_and(fits));
@@ -267,7 +285,7 @@
         let least = fitting.min_by_key(load);
         let spare = self.conns.len() < self.sockets;
         match least {
-            Some(key) if load(&key) == 0 || !spare => Some(key),
+            Some(key) if !spare || (load(&key) == 0 && !once) => Some(key),
             least => self.dial(id, cx).or(least),
         }
     }
@@ -277,10 +295,12 @@
             let idle = self.conns.iter().find(|(_, conn)| conn.load() == 0).map(|(key, _)| key)?;
             self.lose(idle, Outcome::Reset, cx);
         }
-        let engine = self.roster.get_mut(id)?;
-        if engine.links.len() >= LINKS_MOST {
-            return None;
+        if self.roster.links(id).len() >= LINKS_MOST {
+            let idle = |key: &Key| self.conns.get(*key).is_some_and(|conn| conn.load() == 0);
+            let idle = self.roster.links(id).iter().copied().find(idle)?;
+            self.lose(idle, Outcome::Reset, cx);
         }
+        let engine = self.roster.get_mut(id)?;
         let link = Link::dial(engine.address)
             .map_err(|e| cx.log.push(format!("dial: engine={} error={e}", id.0)))
             .ok()?;
@@ -292,9 +312,12 @@
             since,
             heard,
             next_look: None,
+            used: cx.now,
+            quiet: 0.0,
             asked: None,
             wants: VecDeque::new(),
             open: HashMap::new(),
+            called_off: VecDeque::new(),
             spent: HashSet::new(),
         });
         engine.links.push(key);
@@ -307,16 +330,30 @@
         Some(key)
     }
 
-    /// Gives an attempt up: takes it back if no byte of it is written, else calls it off.
-    pub fn give_up(&mut self, at: AttemptRef, cx: &mut Cx) {
-        let Some((key, name)) = self.placed.remove(&at) else { return };
-        let Some(conn) = self.conns.get_mut(key) else { return };
-        if let Some(place) = conn.wants.iter().position(|want| want.at == at) {
-            conn.wants.remove(place);
-        } else if conn.open.remove(&name).is_some() {
+    /// Gives an attempt up: takes it back if no byte of it is written, else calls it off. If it is to be sent again it
+    /// ends when the engine confirms that it has read so: the next attempt goes by another connection, and may be
+    /// there before the cancel is.
+    pub fn give_up(&mut self, at: AttemptRef, again: bool, cx: &mut Cx) {
+        let placed = self.placed.remove(&at);
+        let conn = placed.and_then(|(key, name)| Some((key, name, self.conns.get_mut(key)?)));
+        let called_off = conn.and_then(|(key, name, conn)| {
+            conn.wants.retain(|want| want.at != at);
+            conn.open.remove(&name)?;
             conn.link.put(format!("never_mind {name}\r\n").as_bytes());
             conn.spent.insert(name);
-            self.flush(key, cx);
+            if again {
+                self.tags += 1;
+                let tag = format!("g{}", self.tags);
+                conn.link.put(format!("there {tag}\r\n").as_bytes());
+                conn.called_off.push_back((tag, at, cx.now));
+                conn.look_at(cx.now + CONFIRM_MS, key, cx.deadlines);
+            }
+            Some(key)
+        });
+        match called_off {
+            Some(key) => self.flush(key, cx),
+            None if again => cx.heard.push(Heard::Ended(Ended::bare(at, Outcome::Cancelled))),
+            None => {}
         }
     }
 
@@ -357,6 +394,7 @@
             }
         }
         if self.read(key, cx).is_err() {
+            self.learn_keeps(key, cx);
             if let Some(conn) = self.conns.get(key).filter(|conn| conn.load() > 0) {
                 cx.log.push(format!("lost: engine={} attempts={}", conn.engine.0, conn.load()));
             }
@@ -365,13 +403,25 @@
         self.flush(key, cx);
     }
 
+    /// Guards against connections that die unseen while they are quiet, as behind a box that forgets them: the next
+    /// request on such a one is reset at once, read or not. What one showed holds for the engine's others.
+    fn learn_keeps(&mut self, key: Key, cx: &mut Cx) {
+        let Some(conn) = self.conns.get(key).filter(|conn| !conn.open.is_empty()) else { return };
+        let unheard = conn.heard <= conn.used;
+        let known = self.roster.keeps(&conn.engine, cx.now);
+        let Some(engine) = self.roster.get_mut(&conn.engine) else { return };
+        if unheard && conn.quiet >= KEEPS_LEAST {
+            engine.keeps = Some((known.min(conn.quiet * KEEPS_PART), cx.now + KEEPS_FOR));
+        }
+    }
+
     fn read(&mut self, key: Key, cx: &mut Cx) -> Result<(), Lost> {
         loop {
             let Some(conn) = self.conns.get_mut(key) else { return Ok(()) };
             let before = conn.link.input.len();
             let end = conn.link.read(BODY_MOST + 2 * LINE_MOST);
             if conn.link.input.len() > before {
-                (conn.heard, conn.asked) = (cx.now, None);
+                (conn.heard, conn.used, conn.asked) = (cx.now, cx.now, None);
             }
             let input = std::mem::take(&mut conn.link.input);
             let mut used = 0;
@@ -400,7 +450,15 @@
 
     fn line(&mut self, key: Key, line: Line<'_>, cx: &mut Cx) -> Result<(), Lost> {
         let Some(conn) = self.conns.get_mut(key) else { return Ok(()) };
-        // A late line of an attempt that was given up, or a `green`: it tells only that the connection works.
+        if line.word == "green" {
+            // Answers come in any order, but a cancel written before `there` has been read before its answer.
+            if let Some(place) = conn.called_off.iter().position(|(tag, ..)| tag == line.id) {
+                let read = conn.called_off.drain(..=place).map(|(_, at, _)| at);
+                cx.heard.extend(read.map(|at| Heard::Ended(Ended::bare(at, Outcome::Cancelled))));
+            }
+            return Ok(());
+        }
+        // A late line of an attempt that was given up tells nothing.
         let Some(attempt) = conn.open.get_mut(line.id) else { return Ok(()) };
         let at = attempt.at;
         let outcome = match line.word {
@@ -477,6 +535,7 @@
             if conn.open.is_empty() {
                 conn.heard = cx.now; // Silence counts from the first thing asked.
             }
+            (conn.quiet, conn.used) = (cx.now - conn.used, cx.now);
             conn.link.put(&want.bytes);
             let attempt = Attempt { at: want.at, pages: Vec::new(), cost: None, report: None };
             conn.open.insert(want.name, attempt);
@@ -489,11 +548,12 @@
         let Some(conn) = self.conns.remove(key) else { return };
         self.roster.unlink(&conn.engine, key);
         conn.next_look.into_iter().for_each(|look| cx.deadlines.clear(look));
-        let mut ends: Vec<_> = conn.open.into_values().map(|a| (a.at, outcome)).collect();
+        let called_off = conn.called_off.into_iter().map(|(_, at, _)| (at, Outcome::Cancelled));
+        let mut ends: Vec<_> = conn.open.into_values().map(|a| (a.at, outcome)).chain(called_off).collect();
         for mut want in conn.wants {
             want.moves += 1;
             let serves = conn.up && want.moves <= MOVES_MOST && self.roster.serving(&conn.engine).is_some();
-            let to = if serves { self.choose(&conn.engine, &want.name, cx) } else { None };
+            let to = if serves { self.choose(&conn.engine, &want.name, want.once, cx) } else { None };
             match to.and_then(|key| Some((key, self.conns.get_mut(key)?))) {
                 Some((key, next)) => {
                     self.placed.insert(want.at, (key, want.name.clone()));
@@ -518,6 +578,10 @@
             }
             return;
         }
+        while let Some((_, at, _)) = conn.called_off.pop_front_if(|(.., since)| cx.now - *since >= CONFIRM_MS)
+        {
+            cx.heard.push(Heard::Ended(Ended::bare(at, Outcome::Cancelled)));
+        }
         let idle = cx.now - conn.heard;
         if !conn.link.input.is_empty() && idle >= STALL_MS {
             cx.log.push(format!("lost: engine={} attempts={} in mid-answer", conn.engine.0, conn.load()));
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -158,8 +158,8 @@
     Answer(Asker, Answer),
     /// Begin an attempt.
     Start(Start),
-    /// Give an attempt up.
-    GiveUp(AttemptRef),
+    /// Give an attempt up; if it is still owed an end, that is told when it is sure that the engine knows.
+    GiveUp(AttemptRef, bool),
     /// Change an attempt's priority.
     Hurry(AttemptRef, u8),
     /// Give an engine's idle connections back.
@@ -313,7 +313,7 @@
     pub fn attempt_over(&mut self, now: f64, r: AttemptRef, deadlines: &mut Deadlines) {
         let out = self.open.get(r.request).and_then(|open| open.out.as_ref());
         if out.is_some_and(|out| out.attempt == r.attempt) {
-            self.orders.push(Order::GiveUp(r));
+            self.orders.push(Order::GiveUp(r, false));
             self.ended(now, Ended::bare(r, Outcome::TimedOut), deadlines);
         }
     }
@@ -461,8 +461,15 @@
             }
             Action::Cancel { request, attempt } => {
                 let attempt = AttemptRef { request: self.key(&request)?, attempt };
+                let open = self.open.get(attempt.request)?;
+                if open.asker.is_some() && open.out.as_ref().is_some_and(|out| out.attempt == attempt.attempt)
+                {
+                    // It may be sent again, but not before this one is over for sure: its end comes from outside.
+                    self.orders.push(Order::GiveUp(attempt, true));
+                    return None;
+                }
                 let closed = self.close_attempt(now, &Ended::bare(attempt, Outcome::Cancelled), deadlines)?;
-                self.orders.push(Order::GiveUp(attempt));
+                self.orders.push(Order::GiveUp(attempt, false));
                 self.forget(attempt.request, deadlines);
                 Some(closed)
             }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -17,6 +17,7 @@
 pub mod slots;
 pub mod tables;
 
+use crate::Repeat;
 use backend::mysql::MysqlBoxes;
 use backend::warehouse::Warehouses;
 use backend::Cx;
@@ -92,7 +93,8 @@
                 control_listeners.push((kind, listener));
             }
         }
-        let names = config.settings.classes.iter().map(|c| c.name.clone()).collect();
+        let classes = config.settings.classes.iter();
+        let names = classes.map(|c| (c.name.clone(), c.repeat == Repeat::Unsafe)).collect();
         let client_sockets = config.client_sockets();
         let backend_sockets = config.sockets.saturating_sub(client_sockets + 32).max(4);
         let warehouses =
@@ -403,9 +405,12 @@
                     }
                     (Order::Start(start), _) => warehouses.start(start, &mut cx),
                     // A pool passes over attempts and engines that are not its own.
-                    (Order::GiveUp(attempt), boxes) => {
-                        warehouses.give_up(attempt, &mut cx);
-                        boxes.into_iter().for_each(|(_, boxes)| boxes.give_up(attempt, &mut cx));
+                    (Order::GiveUp(attempt, again), boxes) => {
+                        let boxes = boxes.filter(|(_, boxes)| boxes.carries(attempt));
+                        match boxes {
+                            Some((_, boxes)) => boxes.give_up(attempt, again, &mut cx),
+                            None => warehouses.give_up(attempt, again, &mut cx),
+                        }
                     }
                     (Order::Hurry(attempt, priority), _) => warehouses.hurry(attempt, priority, &mut cx),
                     (Order::CloseIdle(engine), boxes) => {
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -45,7 +45,7 @@
         box_password: String::new(),
         box_connections: 4,
     };
-    let lines = Warehouses::new(vec!["load".to_owned()], 250.0, 15_000.0, 100, 100);
+    let lines = Warehouses::new(vec![("load".to_owned(), true)], 250.0, 15_000.0, 100, 100);
     [Pool::Lines(lines), Pool::Mysql(Box::new(MysqlBoxes::new(mysql, 250.0, 15_000.0, 100, 1 << 20)))]
 }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -247,3 +247,34 @@
         b.pass(50);
     }
 }
+
+#[test]
+fn connections_that_break_put_no_engine_aside() {
+    // On a day of resets from all engines alike half of the fleet rested in turn, and work piled up on the other.
+    let mut b = Bench::new(settings(), fleet(2));
+    for n in 0..6 {
+        let id = format!("r{n}");
+        let at = sent(&b.arrive(request(&id, 0, 1, 4000)))[0].clone();
+        let again = b.close(&id, 0, &at, Outcome::Reset, 5);
+        assert!(!again.iter().any(|a| matches!(a, Action::Log(_))), "{again:?}");
+        b.close(&id, 1, &sent(&again)[0], Outcome::Served, 20);
+        b.pass(30);
+    }
+}
+
+#[test]
+fn a_long_day_of_replacements_does_not_make_the_table_grow() {
+    // New machines have new ids: the place of one that is gone is free once no request remembers it.
+    let mut b = Bench::new(settings(), fleet(2));
+    let at = sent(&b.arrive(request("q", 0, 1, 60_000)))[0].clone();
+    for n in 0..50 {
+        let name = format!("new{n}");
+        b.tell(list(ListKind::Changes, vec![member(&name)]));
+        b.tell(list(ListKind::Changes, vec![Member { state: MemberState::Gone, ..member(&name) }]));
+    }
+    b.tell(list(ListKind::Changes, vec![Member { state: MemberState::Gone, ..member(&at.0) }]));
+    b.tell(list(ListKind::Changes, vec![member("next")]));
+    assert_eq!(b.gateway.engines_held(), 3, "one place is free, one is remembered");
+    b.close("q", 0, &at, Outcome::Served, 20);
+    assert!(b.gateway.engines_held() == 3 && b.gateway.requests_held() == 0);
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -98,10 +98,14 @@
         1,
         "c1 send ask 1 lookup 2500 select 1 from s_1.t
         w expect want c1-1 *
-        clock wait 800
+        clock wait 550
         w expect never_mind c1-1
-        w expect want c1-1 *",
+        w expect there g1
+        w wait silent",
     );
+    // Guards the rule on second copies: the two go by two connections, and the cancel may be read last.
+    stage.houses[0].conns[0].push(b"g1 green - 0\r\n\r\n");
+    stage.go("w expect want c1-1 *");
     assert_eq!(stage.houses[0].conns.len(), 2, "the second attempt has a connection of its own");
     stage.push(0, "c1-1", b"served pages=1 7\r\nlate\t\t\n\r\n");
     stage.go("c1 wait silent
@@ -523,3 +527,68 @@
         answers == 400
     });
 }
+
+#[test]
+fn a_cancel_that_nobody_confirms_is_over_soon() {
+    // Guards against a machine that is cut off: what is called off there goes on elsewhere all the same.
+    Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c1-1 *
+        clock wait 550
+        w expect never_mind c1-1
+        w expect there g1
+        w wait silent
+        clock wait 300
+        w expect want c1-1 *",
+    );
+}
+
+#[test]
+fn a_load_goes_by_a_connection_of_its_own_and_a_look_up_by_an_idle_one() {
+    // Guards against an idle connection that is reset as the load comes: nobody could tell whether it was read.
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c1-1 *
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
+        c1 send ask 2 lookup 2500 select 1 from s_1.t
+        w expect want c1-2 *",
+    );
+    assert_eq!(stage.houses[0].conns.len(), 1);
+    stage.go("w send c1-2 served pages=1 x\\t\\t\\n
+        c1 expect 2 served x\\t\\t\\n
+        c1 send ask 3 delivery-load 25000 insert into s_1.t values (1)
+        w expect want c1-3 *");
+    assert_eq!(stage.houses[0].conns.len(), 2);
+}
+
+#[test]
+fn connections_that_die_while_they_are_quiet_are_not_used_after_such_a_time() {
+    // Guards against a box between that forgets quiet connections: each request on one is reset, read or not.
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c1-1 *
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
+        clock wait 200
+        c1 send ask 2 lookup 2500 select 1 from s_1.t
+        w expect want c1-2 *
+        w close
+        w expect want c1-2 *
+        w send c1-2 served pages=1 x\\t\\t\\n
+        c1 expect 2 served x\\t\\t\\n",
+    );
+    for (wait, connections) in [(100, 1), (170, 2)] {
+        stage.go(&format!(
+            "clock wait {wait}
+            c1 send ask {wait} lookup 2500 select 1 from s_1.t
+            w expect want c1-{wait} *
+            w send c1-{wait} served pages=1 x\\t\\t\\n
+            c1 expect {wait} served x\\t\\t\\n"
+        ));
+        assert_eq!(stage.houses[0].conns.len(), connections, "after {wait} ms");
+    }
+}
