Hold a load in the gateway while its tables are held on each engine

Cause: decide.rs ranked() only put engines whose tables are held last; dispatch() sent there all the same. A trace of loads: two table groups on five engines, notes of waiting for a holder, runs of 0.3 to 1 s and latencies of 8.4 to 8.7 s, the deadline. Each engine's line served the oldest, all of them late. Ruled out: memory lines (no such note), sockets (first attempt after 0.15 ms), bad plans. Change: an engine where an own load of the group is out takes no further one; the rest wait in the gateway by worth.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -537,6 +537,10 @@
             self.decide_flag(seq, home);
         }
         let mut fits: Vec<usize> = ranked.into_iter().filter(|e| self.usable(seq, *e)).collect();
+        // A load behind the holder of its tables only keeps memory there: it waits here, for the first to be free.
+        let (holds, tables) = (self.class(&self.jobs[&seq]).holds_tables, self.jobs[&seq].request.tables);
+        let taken = |e: &usize| self.blocked.get(&(*e, tables)).is_some_and(|until| *until > self.now);
+        fits.retain(|e| !(holds && taken(e)));
         if self.ask(seq, &fits, out) {
             self.held.insert(seq);
             return;
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -331,3 +331,19 @@
         assert!(refused_by_then >= open.len().min(held) - 2, "{left}: {refused_by_then} of {open:?}");
     }
 }
+
+#[test]
+fn a_load_behind_the_holder_of_its_tables_waits_in_the_gateway_for_the_first_to_be_free() {
+    // Loads of two groups on five engines stood in line there until their clients had left: each line kept memory
+    // and served the oldest first.
+    let mut s = settings();
+    (s.classes[1].holds_tables, s.classes[1].repeat) = (true, Repeat::Unsafe);
+    let mut b = Bench::new(s, vec![member("a:1"), member("b:1")]);
+    let first = sent(&b.arrive(request("l1", 1, 7, 20_000)))[0].clone();
+    let second = sent(&b.arrive(request("l2", 1, 7, 20_000)))[0].clone();
+    assert_ne!(first, second);
+    assert_eq!(sent(&b.arrive(request("l3", 1, 7, 20_000))), []);
+    assert_eq!(sent(&b.arrive(request("l4", 1, 8, 20_000))).len(), 1, "another group is free");
+    b.pass(300);
+    assert_eq!(sent(&b.close("l2", 0, &second, Outcome::Served, 300)), [second]);
+}
