Count broken connections against an engine from the third in a row

Seen on rereading: since broken connections ceased to be a sign, an engine that takes connections and breaks each was never left; and learn_keeps() in backend/warehouse.rs took any break for one of a quiet connection, since its 'unheard' was always true. Checked: a test engine that resets all got every request of its groups (fails before, passes now); a break after a note taught a quiet time (likewise).

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -4,6 +4,7 @@
 
 const EJECT_SHARE: f64 = 0.5; // share of the fleet that may be out for anything but lost connections
 const DOUBT_FULL: f64 = 2.0; // log odds; ejects: one bad sign where few come; trust is saved up no further
+const RESETS: u32 = 3; // broken connections in a row, none served between, before they are a bad sign
 const SICK_MS: f64 = 10_000.0; // ms; half-life of the fleet's share of bad signs
 const SICK_LEAST: f64 = 0.02; // share of bad signs that any fleet has: bad plans, wrong estimates
 
@@ -22,7 +23,7 @@
                 if engine.lost_in_row >= 2 {
                     engine.started = Some(now); // Connections failed, now it answers: started anew, cold.
                 }
-                engine.lost_in_row = 0;
+                (engine.lost_in_row, engine.resets_in_row) = (0, 0);
                 (!doubted).then(|| self.weigh(e, false, "", out));
             }
             Outcome::Full => self.met_line(e, work_ms),
@@ -32,6 +33,11 @@
                 self.weigh(e, true, "connections fail", out);
                 (self.engines[e].lost_in_row >= 2).then(|| self.eject(e, "connections fail", true, out));
             }
+            Outcome::Reset => {
+                // A few break anywhere; an engine that breaks all and serves none is sick.
+                engine.resets_in_row += 1;
+                (engine.resets_in_row >= RESETS).then(|| self.weigh(e, true, "connections break", out));
+            }
             _ => {}
         }
     }
--- a/src/node/backend/warehouse.rs
+++ b/src/node/backend/warehouse.rs
@@ -57,7 +57,7 @@
     since: f64,
     heard: f64,
     next_look: Option<Handle>,
-    /// When it last carried a byte, and how long it had been quiet before the last request on it.
+    /// When it last carried a byte, and how long it had been quiet before the last request, till that is answered.
     used: f64,
     quiet: f64,
     /// When `there` was asked, while it is not answered.
@@ -407,10 +407,9 @@
     /// request on such a one is reset at once, read or not. What one showed holds for the engine's others.
     fn learn_keeps(&mut self, key: Key, cx: &mut Cx) {
         let Some(conn) = self.conns.get(key).filter(|conn| !conn.open.is_empty()) else { return };
-        let unheard = conn.heard <= conn.used;
         let known = self.roster.keeps(&conn.engine, cx.now);
         let Some(engine) = self.roster.get_mut(&conn.engine) else { return };
-        if unheard && conn.quiet >= KEEPS_LEAST {
+        if conn.quiet >= KEEPS_LEAST {
             engine.keeps = Some((known.min(conn.quiet * KEEPS_PART), cx.now + KEEPS_FOR));
         }
     }
@@ -421,7 +420,7 @@
             let before = conn.link.input.len();
             let end = conn.link.read(BODY_MOST + 2 * LINE_MOST);
             if conn.link.input.len() > before {
-                (conn.heard, conn.used, conn.asked) = (cx.now, cx.now, None);
+                (conn.heard, conn.used, conn.quiet, conn.asked) = (cx.now, cx.now, 0.0, None);
             }
             let input = std::mem::take(&mut conn.link.input);
             let mut used = 0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,7 @@
     pub doubt: f64,
     pub weighed: Micros,
     pub lost_in_row: u32,
+    pub resets_in_row: u32,
     pub lost_at: Option<Micros>,
     pub health: Health,
     pub strikes: u32,
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -258,6 +258,9 @@
         let again = b.close(&id, 0, &at, Outcome::Reset, 5);
         assert!(!again.iter().any(|a| matches!(a, Action::Log(_))), "{again:?}");
         b.close(&id, 1, &sent(&again)[0], Outcome::Served, 20);
+        let id = format!("g{n}");
+        let at = sent(&b.arrive(request(&id, 0, 1, 4000)))[0].clone();
+        b.close(&id, 0, &at, Outcome::Served, 20);
         b.pass(30);
     }
 }
@@ -278,3 +281,12 @@
     b.close("q", 0, &at, Outcome::Served, 20);
     assert!(b.gateway.engines_held() == 3 && b.gateway.requests_held() == 0);
 }
+
+#[test]
+fn an_engine_that_breaks_every_connection_is_left() {
+    // Guards against a process that dies of each request and stands again: it takes connections and serves nobody.
+    let (mut b, bad) = (Bench::new(settings(), fleet(4)), home_of(0));
+    let first = play(&mut b, 60, 20, &bad, Some(Outcome::Reset));
+    let then = play(&mut b, 60, 20, &bad, Some(Outcome::Reset));
+    assert!(first >= 1 && first + then <= 12, "{first} then {then} of about 30");
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -592,3 +592,27 @@
         assert_eq!(stage.houses[0].conns.len(), connections, "after {wait} ms");
     }
 }
+
+#[test]
+fn a_connection_that_breaks_after_a_sign_of_life_teaches_nothing_of_quiet_ones() {
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c1-1 *
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
+        clock wait 200
+        c1 send ask 2 lookup 2500 select 1 from s_1.t
+        w expect want c1-2 *
+        w send c1-2 update remark=so_far,v=0.5
+        w close
+        w expect want c1-2 *
+        w send c1-2 served pages=1 x\\t\\t\\n
+        c1 expect 2 served x\\t\\t\\n
+        clock wait 170
+        c1 send ask 3 lookup 2500 select 1 from s_1.t
+        w expect want c1-3 *",
+    );
+    stage.turn();
+    assert_eq!(stage.houses[0].conns.len(), 1);
+}
