--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,7 +65,7 @@
 const PRIOR_ATTEMPTS: f64 = 5.0; // attempts that this is worth, and the share that meets no line
 const EXTRA_SHARE: f64 = 0.2; // further attempts that a request earns: overload lets them lapse
 const EXTRA_MOST: f64 = 30.0; // further attempts saved up: one engine's work in hand
-const ERRORS_MOST: usize = 2; // engines that may answer a request with an error: then it is the request's fault
+const ERRORS_MOST: usize = 2; // engines that may answer a request with an error: more, and it is at fault
 const HEDGE_TIMES: f64 = 3.0; // times its expected time after which a light query is copied
 const HEDGE_LEAST_MS: f64 = 250.0; // ms; and not before this
 const BAD_PLAN: f64 = 4.0; // times what was expected; past the scatter of estimates
@@ -247,7 +247,7 @@
         self.pump(out);
     }
 
-    /// A place for an engine not known before: that of one that is gone and that no request in mind was sent to, so
+    /// A place for an engine not known before: that of one that is gone and was sent nothing in mind, so
     /// that a long day of replacements does not make the table grow.
     fn place(&mut self, id: &EngineId) -> usize {
         let gone = |e: &Engine| e.member.state == MemberState::Gone;
@@ -537,7 +537,7 @@
             self.decide_flag(seq, home);
         }
         let mut fits: Vec<usize> = ranked.into_iter().filter(|e| self.usable(seq, *e)).collect();
-        // A load behind the holder of its tables only keeps memory there: it waits here, for the first to be free.
+        // Behind the holder of its tables a load only keeps memory: it waits here, for the first to be free.
         let (holds, tables) = (self.class(&self.jobs[&seq]).holds_tables, self.jobs[&seq].request.tables);
         let taken = |e: &usize| self.blocked.get(&(*e, tables)).is_some_and(|until| *until > self.now);
         fits.retain(|e| !(holds && taken(e)));
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -42,9 +42,9 @@
         }
     }
 
-    /// An error may be the request's fault as well as the engine's: it counts against an engine once another has
-    /// served the same request. Covers clients that ask for what no engine can run; an engine whose errors meet only
-    /// what is never repeated stays in use, as its errors say nothing more than the client's own.
+    /// An error may be the request's fault as well as the engine's: it counts against an engine once another
+    /// has served the same request. Covers clients that ask for what none can run; an engine whose errors
+    /// meet only what is never repeated stays in use: they say nothing more than a client's own.
     pub(super) fn blame_errors(&mut self, seq: u64, outcome: Outcome, out: &mut Vec<Action>) {
         if outcome == Outcome::Served {
             let at_fault: Vec<usize> = self.jobs[&seq].errors().collect();
