xDS: leases live through reconnects and carry a fleet all cold; stuck streams end

Need: the deploy measurement showed requests with nothing to send to at three kinds of proxies. Found: a stream that had reconnected lost its leases till the next plan; an incremental reconnect with equal versions never renewed a time to live; a proxy that never ACKs got bad news only, and after 16 of them not even that; with every engine cold the warm cluster kept weight 1 and unsettled proxies had nothing.

Change: leases are adopted with what was wanted; what has a time to live is told anew; other news follow after 2 s without ACK while half the window is free, and a stream that a drain can't be told on is ended; an eighth of a cold engine's bound is for newcomers; weights of cold clusters follow Erlang's loss formula, two refusals in a hundred.

--- a/crates/xds/src/core/allot.rs
+++ b/crates/xds/src/core/allot.rs
@@ -26,6 +26,25 @@
     (own + 1e-9).floor().max(0.0) as u32
 }
 
+/// Of the requests sent to a cold engine, so many at most should find the lease used up.
+const REFUSED: f64 = 0.02;
+
+/// The mean of requests out that so many slots carry with few refused, for requests that come by chance: Erlang's loss
+/// formula, turned round.
+pub fn offered(slots: u32) -> f64 {
+    let blocked = |load: f64| (1..=slots).fold(1.0, |b, n| load * b / (f64::from(n) + load * b));
+    let (mut low, mut high) = (0.0, f64::from(slots));
+    for _ in 0..30 {
+        let middle = (low + high) / 2.0;
+        if blocked(middle) <= REFUSED {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    low
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Lease {
     /// Values that may be in force with the push that told them, oldest first.
@@ -96,15 +115,18 @@
         }
     }
 
-    /// A holder is back under another number, with what it held.
-    pub fn adopt(&mut self, from: Holder, to: Holder) {
-        for of in self.0.values_mut() {
+    /// A holder is back under another number, with what it held: gives that.
+    pub fn adopt(&mut self, from: Holder, to: Holder) -> Vec<(EngineName, u32)> {
+        let mut held = Vec::new();
+        for (engine, of) in &mut self.0 {
             if let Some(lease) = of.remove(&from) {
                 // The new stream counts its pushes anew; what is in force now comes before all of them.
                 let most = lease.most();
+                held.push((engine.clone(), lease.told.last().map_or(0, |(_, value)| *value)));
                 of.insert(to, Lease { told: vec![(0, most)], until: None });
             }
         }
+        held
     }
 
     /// Drops leases that have ended, and those on engines that are no longer warming.
@@ -136,6 +158,7 @@
 
 const DEADBAND: f64 = 0.25; // of its share that a proxy's part must be off before it is moved
 const REBALANCE_MS: f64 = 2_000.0;
+const KEPT: u32 = 8; // one part in so many of a cold engine's bound is for proxies that have not settled
 const LINGER_MS: f64 = 10_000.0; // how long the part of one that left is kept for it
 
 #[derive(Clone, Debug)]
@@ -209,25 +232,38 @@
         self.members.get(&holder).filter(|m| m.left.is_none()).map_or(0.0, |m| m.share)
     }
 
-    /// What each proxy that is here should have of so many requests. What does not divide goes one by one to some,
-    /// in an order that differs by engine, so that many small engines do not all fall to the same proxy.
+    /// What each proxy that is here should have of so many requests. What does not divide goes one by one to some.
     pub fn divide(&self, engine: &str, bound: u32) -> BTreeMap<Holder, u32> {
+        // A little is always kept for those that have not settled, one request each: where all engines are cold they
+        // would have nothing else, and they must not take from the others when they come.
+        let kept = bound / KEPT;
+        let waits = |m: &Member| m.share == 0.0 && m.left.is_none();
+        let newcomers = self.in_order(engine, &waits).into_iter().take(kept as usize);
+        let newcomers: Vec<(Holder, u32)> = newcomers.map(|holder| (holder, 1)).collect();
+        let bound = bound - kept;
         // Those that left of late are counted, so that nobody's part moves when one goes and comes back.
         let sum: f64 = self.members.values().map(|m| m.share).sum();
         let with_part = || self.members.iter().filter(|(_, m)| m.share > 0.0);
         let part = |m: &Member| (f64::from(bound) * m.share / sum + 1e-9).floor() as u32;
         let mut parts: BTreeMap<Holder, u32> = with_part().map(|(holder, m)| (*holder, part(m))).collect();
-        let mut order: Vec<(u64, Holder)> =
-            with_part().map(|(holder, m)| (hash(&[engine.as_bytes(), m.node.as_bytes()]), *holder)).collect();
-        order.sort_unstable();
         let rest = bound.saturating_sub(parts.values().sum()) as usize;
-        for (_, holder) in order.into_iter().take(rest) {
+        for holder in self.in_order(engine, &|m| m.share > 0.0).into_iter().take(rest) {
             parts.entry(holder).and_modify(|n| *n += 1);
         }
         parts.retain(|holder, _| self.members.get(holder).is_some_and(|m| m.left.is_none()));
+        parts.extend(newcomers);
         parts
     }
 
+    /// Members in an order that differs by engine, so that what does not divide falls to others at each.
+    fn in_order(&self, engine: &str, of: &dyn Fn(&Member) -> bool) -> Vec<Holder> {
+        let members = self.members.iter().filter(|(_, m)| of(m));
+        let mut order: Vec<(u64, Holder)> =
+            members.map(|(holder, m)| (hash(&[engine.as_bytes(), m.node.as_bytes()]), *holder)).collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, holder)| holder).collect()
+    }
+
     /// How many proxies are known, those that left of late included.
     pub fn len(&self) -> usize {
         self.members.len()
--- a/crates/xds/src/core/loads.rs
+++ b/crates/xds/src/core/loads.rs
@@ -12,67 +12,35 @@
 
 /// One proxy's load, smoothed.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Load {
-    /// Requests in progress at all engines told here.
-    pub in_progress: f64,
-    /// Requests a second.
-    pub per_second: f64,
+struct Load {
+    in_progress: f64,
     at: f64,
 }
 
-/// One report, summed up over the clusters told here.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Report {
-    /// Requests in progress.
-    pub in_progress: u64,
-    /// Requests issued within the interval.
-    pub issued: u64,
-    /// The interval in milliseconds, as the proxy tells it.
-    pub interval_ms: f64,
-}
-
 /// The loads of all proxies, by node id.
 #[derive(Debug, Default)]
 pub struct Loads(BTreeMap<String, Load>);
 
 impl Loads {
-    /// Takes a report in. What is beyond belief is cut to what is believed.
-    pub fn report(&mut self, now: f64, node: &str, report: Report) {
+    /// Takes a report in: requests in progress at all engines told here. What is beyond belief is cut to what is believed.
+    pub fn report(&mut self, now: f64, node: &str, in_progress: u64) {
         if self.0.len() >= PROXIES_MOST && !self.0.contains_key(node) {
             return;
         }
-        let interval = if report.interval_ms.is_finite() { report.interval_ms.max(100.0) } else { 1e9 };
-        let in_progress = (report.in_progress as f64).min(BELIEVED_MOST);
-        let per_second = (report.issued as f64 * 1000.0 / interval).min(BELIEVED_MOST);
-        let load = self.0.entry(node.to_owned()).or_insert(Load { in_progress, per_second, at: now });
+        let in_progress = (in_progress as f64).min(BELIEVED_MOST);
+        let load = self.0.entry(node.to_owned()).or_insert(Load { in_progress, at: now });
         let part = 1.0 - (-(now - load.at).max(0.0) / SMOOTH_MS).exp();
         load.in_progress += (in_progress - load.in_progress) * part;
-        load.per_second += (per_second - load.per_second) * part;
         load.at = now;
     }
 
     /// What a proxy is believed to have out, in requests; 0 where nothing fresh is known.
-    pub fn in_progress(&self, now: f64, node: &str) -> f64 {
-        self.0.get(node).filter(|load| now - load.at < AGED_MS).map_or(0.0, |load| load.in_progress)
-    }
-
-    /// A proxy's load, for the status page.
-    pub fn load(&self, node: &str) -> Option<Load> {
-        self.0.get(node).copied()
+    pub fn in_progress(&self, node: &str) -> f64 {
+        self.0.get(node).map_or(0.0, |load| load.in_progress)
     }
 
     /// Drops what has aged out.
     pub fn forget(&mut self, now: f64) {
         self.0.retain(|_, load| now - load.at < AGED_MS);
     }
-
-    /// How many proxies' loads are kept.
-    pub fn len(&self) -> usize {
-        self.0.len()
-    }
-
-    /// Whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
 }
--- a/crates/xds/src/core/plane.rs
+++ b/crates/xds/src/core/plane.rs
@@ -5,7 +5,7 @@
 //! the route without it is accepted. Listeners only name the route configuration and hardly change.
 
 use super::allot::{bound, Holder, Leases, Shares};
-use super::loads::{Loads, Report};
+use super::loads::Loads;
 use super::picture::{Engine, EngineName, Health, Picture, Terms};
 use super::resources::{self, Kind, Resource, Set};
 use super::stream::{Ask, Meant, Response, Stream, StreamError, Variant};
@@ -232,10 +232,10 @@
         Ok(())
     }
 
-    /// A load report came.
-    pub fn reported(&mut self, now: f64, node: &str, report: Report) {
+    /// A load report came: requests in progress at the clusters told here.
+    pub fn reported(&mut self, now: f64, node: &str, in_progress: u64) {
         if !node.is_empty() && self.proxies.values().any(|p| p.node == node) {
-            self.loads.report(now, node, report);
+            self.loads.report(now, node, in_progress);
         }
     }
 
@@ -255,7 +255,7 @@
         let warming = &self.warming;
         self.leases.expire(now, &|engine| warming.contains_key(engine));
         let loads = &self.loads;
-        let moved = self.shares.balance(now, self.terms.settle_ms, &|node| loads.in_progress(now, node));
+        let moved = self.shares.balance(now, self.terms.settle_ms, &|node| loads.in_progress(node));
         if now - self.born >= self.terms.late_ms + self.terms.ttl_ms {
             self.plan(now, moved);
         }
@@ -268,7 +268,9 @@
                 !self.warming.is_empty() || !proxy.clusters.is_empty() || proxy.endpoints.is_some();
             let oldest =
                 proxy.stream.subs().filter_map(|(_, sub)| sub.oldest()).fold(f64::INFINITY, f64::min);
-            if now - oldest > self.terms.ack_ms {
+            // Better a new stream, which is told all at once, than one that no drain can be told on.
+            let stuck = proxy.stream.subs().any(|(kind, sub)| kind != Kind::Cds && sub.stuck(self.urgent));
+            if stuck || now - oldest > self.terms.ack_ms {
                 self.ended.push((*holder, StreamError::Unanswered));
             }
         }
@@ -320,7 +322,7 @@
                 ),
                 Kind::Lds => self.listeners.clone(),
                 Kind::Rds => {
-                    let load = self.loads.in_progress(now, &proxy.node);
+                    let load = self.loads.in_progress(&proxy.node);
                     proxy.routes(&self.terms, &self.shown, &self.warming, load)
                 }
             };
@@ -409,7 +411,7 @@
             format!(
                 r#"{{"stream":{holder},"node":{},"peer":{},"variant":"{variant}","since_ms":{:.0},"share":{:.3},"in_progress":{:.1},"leases":{{{}}},"types":{{{}}}}}"#,
                 quoted(&proxy.node), quoted(&proxy.peer), now - proxy.since, self.shares.share(*holder),
-                self.loads.in_progress(now, &proxy.node), leases.join(","), types.join(",")
+                self.loads.in_progress(&proxy.node), leases.join(","), types.join(",")
             )
         }).collect();
         let warming: Vec<String> = self
@@ -449,7 +451,8 @@
         let (before, taken) = shares.joined(now, holder, &self.node);
         self.leases = !taken;
         if let Some(before) = before {
-            leases.adopt(before, holder);
+            // It goes on with what it held, so that nothing is taken from it that its route still names.
+            self.wanted.extend(leases.adopt(before, holder));
         }
     }
 
@@ -512,10 +515,7 @@
                 continue;
             };
             if ready(cluster, Kind::Cds) && ready(cluster, Kind::Eds) {
-                parts.push((
-                    engine.name.clone(),
-                    resources::warming_weight(engine.cores, *most, warm.max(1), load),
-                ));
+                parts.push((engine.name.clone(), resources::warming_weight(engine.cores, *most, warm, load)));
             }
         }
         let fresh = resources::routes(terms, warm, &parts);
--- a/crates/xds/src/core/resources.rs
+++ b/crates/xds/src/core/resources.rs
@@ -2,7 +2,7 @@
 //!
 //! Which field carries what is listed in `docs/xds.md`.
 
-use super::allot::hash;
+use super::allot::{self, hash};
 use super::picture::{Engine, EngineName, Health, Picture, Terms};
 use super::spans::duration;
 use super::tombs::Tombs;
@@ -303,8 +303,8 @@
         weight: Some(UInt32Value { value: weight }),
         ..Default::default()
     };
-    // A weight of 0 for all is refused by proxies, so that the warm cluster has at least 1.
-    let mut clusters = vec![part(terms.cluster.clone(), warm.max(1))];
+    // A weight of 0 for all is refused by proxies: with nothing anywhere, the warm cluster has 1.
+    let mut clusters = vec![part(terms.cluster.clone(), if warming.is_empty() { warm.max(1) } else { warm })];
     clusters.extend(warming.iter().map(|(engine, weight)| part(cluster_of(terms, engine), *weight)));
     let action = route::RouteAction {
         timeout: Some(duration(terms.request_ms)),
@@ -341,9 +341,14 @@
     u32::try_from(sum).unwrap_or(u32::MAX / 2)
 }
 
-/// A warming engine's weight in the routes of a proxy with so many requests out: by its cores, but so low that the
-/// lease is rarely used up, as what has no room there is refused.
+/// A warming engine's weight in the routes of a proxy with so many requests out: by its cores, but so low that of what
+/// is sent there few find the lease used up, as those are refused at the proxy.
 pub fn warming_weight(cores: f64, lease: u32, warm: u32, in_progress: f64) -> u32 {
-    let fits = 0.7 * f64::from(lease) * f64::from(warm) / in_progress.max(1.0);
-    f64::from(weight(cores)).min(fits).round().clamp(1.0, WEIGHT_MOST) as u32
+    let (fits, out) = (allot::offered(lease), in_progress.max(1.0));
+    if warm == 0 {
+        return 1 + lease; // Among cold engines alone, by what may be out there.
+    }
+    // Of `out` requests, `w / (warm + w)` are there.
+    let most = if out > fits { fits * f64::from(warm) / (out - fits) } else { WEIGHT_MOST };
+    f64::from(weight(cores)).min(most).round().clamp(1.0, WEIGHT_MOST) as u32
 }
--- a/crates/xds/src/core/stream.rs
+++ b/crates/xds/src/core/stream.rs
@@ -10,6 +10,9 @@
 
 /// Responses of one type that may be without ACK or NACK. Only urgent ones are told before the last is confirmed.
 pub const PENDING_MOST: usize = 16;
+/// A proxy that answers late is told what is not urgent after this long without ACK, in milliseconds, as long as half of
+/// [`PENDING_MOST`] is left for what is.
+const PATIENCE_MS: f64 = 2_000.0;
 /// Names that a stream may subscribe to in one type.
 pub const NAMES_MOST: usize = 10_000;
 const NAME_MOST: usize = 512;
@@ -259,6 +262,11 @@
         }
     }
 
+    /// Whether an urgent change waits that can't be told, as too many responses are without answer.
+    pub fn stuck(&self, urgent: u64) -> bool {
+        urgent > self.urgent && self.pending.len() >= PENDING_MOST
+    }
+
     /// When the oldest response without answer was told.
     pub fn oldest(&self) -> Option<f64> {
         self.pending.front().map(|push| push.at)
@@ -341,7 +349,9 @@
         let variant = self.variant;
         let sub = self.subs.get_mut(&kind)?;
         let hurried = urgent > sub.urgent && sub.pending.len() < PENDING_MOST;
-        if !sub.pending.is_empty() && !hurried && !sub.asked {
+        let waited = sub.pending.back().is_none_or(|push| now - push.at >= PATIENCE_MS);
+        let free = sub.pending.is_empty() || (waited && sub.pending.len() < PENDING_MOST / 2);
+        if !free && !hurried && !sub.asked {
             return sub.renewed(now, kind, renew_ms);
         }
         let mut visible = Set::new();
@@ -403,8 +413,9 @@
     fn difference(&self, visible: &Set) -> (Vec<Arc<Resource>>, Vec<String>) {
         let told = self.told();
         let holds = |r: &Resource| {
-            let version = told.get(&r.name).map(|r| &r.version).or_else(|| self.before.get(&*r.name));
-            version == Some(&r.version)
+            // What has a time to live is told anew on a new stream: the version alone would not renew it.
+            let before = || self.before.get(&*r.name).filter(|_| r.ttl_ms.is_none());
+            told.get(&r.name).map(|r| &r.version).or_else(before) == Some(&r.version)
         };
         let resources = visible.values().filter(|r| !holds(r)).cloned().collect();
         let held = told.keys().map(|name| &**name).chain(self.before.keys().map(String::as_str));
--- a/crates/xds/src/transport/service.rs
+++ b/crates/xds/src/transport/service.rs
@@ -2,9 +2,8 @@
 
 use super::conn::Info;
 use super::{Hub, Line};
-use crate::core::loads::Report;
 use crate::core::resources::Resource;
-use crate::core::spans::{duration, millis};
+use crate::core::spans::duration;
 use crate::core::stream::{Ask, Response as Push, StreamError, Variant};
 use crate::envoy::service::discovery::v3 as ads;
 use crate::envoy::service::load_stats::v3 as lrs;
@@ -201,22 +200,12 @@
     }
 }
 
-/// Sums a report up over the clusters told here; whatever overflows stays at the most.
-fn summed(hub: &Hub, request: &lrs::LoadStatsRequest) -> Report {
-    let mut report = Report::default();
-    for stats in &request.cluster_stats {
-        if !hub.with(|plane, _| plane.knows(&stats.cluster_name)) {
-            continue;
-        }
-        for locality in &stats.upstream_locality_stats {
-            report.in_progress = report.in_progress.saturating_add(locality.total_requests_in_progress);
-            report.issued = report.issued.saturating_add(locality.total_issued_requests);
-        }
-        let interval = stats.load_report_interval.as_ref();
-        let ms = interval.map_or(0.0, millis);
-        report.interval_ms = report.interval_ms.max(ms);
-    }
-    report
+/// Requests in progress by a report, over the clusters told here; what overflows stays at the most.
+fn in_progress(hub: &Hub, request: &lrs::LoadStatsRequest) -> u64 {
+    let told = |name: &str| hub.with(|plane, _| plane.knows(name));
+    let known = request.cluster_stats.iter().filter(|stats| told(&stats.cluster_name));
+    let localities = known.flat_map(|stats| &stats.upstream_locality_stats);
+    localities.fold(0, |sum: u64, locality| sum.saturating_add(locality.total_requests_in_progress))
 }
 
 #[tonic::async_trait]
@@ -247,8 +236,8 @@
                 if let Some(told) = request.node.as_ref().filter(|_| node.is_empty()) {
                     node = told.id.clone();
                 }
-                let report = summed(&hub, &request);
-                hub.with(|plane, now| plane.reported(now, &node, report));
+                let out = in_progress(&hub, &request);
+                hub.with(|plane, now| plane.reported(now, &node, out));
             }
         });
         Ok(Response::new(ReceiverStream::new(responses)))
