--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -172,7 +172,6 @@
             let of = |n: &std::sync::atomic::AtomicU64| n.load(Ordering::Relaxed);
             report.sent += of(&tally.sent);
             report.answered += of(&tally.answered);
-            if of(&tally.nowhere) > 10 {}
             let refused = [of(&tally.full), of(&tally.nowhere), of(&tally.closed)];
             report.refused.iter_mut().zip(refused).for_each(|(sum, n)| *sum += n);
             report.stray += of(&tally.stray);
--- a/crates/xds/src/core/stream.rs
+++ b/crates/xds/src/core/stream.rs
@@ -8,7 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-/// Responses of one type that may be without ACK or NACK. Only urgent ones are told before the last is confirmed.
+/// Responses of one type that may be without ACK or NACK. Most are told when the last is confirmed: sooner only what is
+/// urgent, or asked for anew.
 pub const PENDING_MOST: usize = 16;
 /// A proxy that answers late is told what is not urgent after this long without ACK, in milliseconds, as long as half of
 /// [`PENDING_MOST`] is left for what is.
@@ -351,7 +352,8 @@
         let hurried = urgent > sub.urgent && sub.pending.len() < PENDING_MOST;
         let waited = sub.pending.back().is_none_or(|push| now - push.at >= PATIENCE_MS);
         let free = sub.pending.is_empty() || (waited && sub.pending.len() < PENDING_MOST / 2);
-        if !free && !hurried && !sub.asked {
+        let asked = sub.asked && sub.pending.len() < PENDING_MOST;
+        if !free && !hurried && !asked {
             return sub.renewed(now, kind, renew_ms);
         }
         let mut visible = Set::new();
--- a/crates/xds/tests/plane.rs
+++ b/crates/xds/tests/plane.rs
@@ -6,7 +6,7 @@
 use beamgap_xds::core::picture::{Health, Terms};
 use beamgap_xds::core::plane::{Plane, Told};
 use beamgap_xds::core::resources::Kind;
-use beamgap_xds::core::stream::{StreamError, Variant};
+use beamgap_xds::core::stream::{StreamError, Variant, PENDING_MOST};
 use common::*;
 
 const BOTH: [Variant; 2] = [Variant::World, Variant::Delta];
@@ -450,3 +450,19 @@
     }
     panic!("it was never ended");
 }
+
+#[test]
+fn a_stream_that_asks_anew_without_answering_is_not_told_without_end() {
+    for variant in BOTH {
+        let mut plane = Plane::new(0.0, terms());
+        plane.picture(0.0, picture(&[engine("s-1", 1, 1.0)]));
+        let s = plane.opened(0.0, variant, "").unwrap();
+        let mut told = 0;
+        for i in 0..200 {
+            let names: &[&str] = if i % 2 == 0 { &["boxes"] } else { &["boxes", "others"] };
+            plane.asked(0.0, s, "p", &first(Kind::Eds, names)).unwrap();
+            told += usize::from(plane.next(0.0, s).is_some());
+        }
+        assert_eq!(told, PENDING_MOST, "{variant:?}");
+    }
+}
