--- a/src/log.rs
+++ b/src/log.rs
@@ -67,6 +67,8 @@
     macro_rules! parts {
         ($($name:literal => $level:ident,)* _ => $other:literal) => {
             match part {
+                // Parts are matched by how they begin, and `list` must not mean `listen` too.
+                "listen" => tracing::info!(target: "start", node, "{text}"),
                 $($name => tracing::$level!(target: $name, node, "{text}"),)*
                 _ => tracing::info!(target: $other, node, "{text}"),
             }
@@ -74,7 +76,6 @@
     }
     parts! {
         "list" => info,
-        "listen" => info,
         "reload" => info,
         "ending" => info,
         "dial" => warn,
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,203 @@
+//! The operator's file and the command line.
+
+use beamgap::node::config::Config;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, Command, Output, Stdio};
+
+const PLATFORM: &str = r#"{"name":"n0","seed":"1f","listen":"127.0.0.1:0","limits":{"sockets":1024},
+ "settings":{"Azs":["a"],"Balancers":2,"Zone":"a","MachineTypes":["std"],
+  "Classes":[{"Name":"lookup","OnTime":500,"HardLimit":2500,"Repeat":"pure","Value":1},
+   {"Name":"report","OnTime":500,"HardLimit":2500,"Repeat":"pure","Value":1},
+   {"Name":"delivery-load","OnTime":3000,"HardLimit":25000,"Repeat":"side_effect","Value":30}],
+  "Parties":[{"Name":"leinster","QuotaPerS":100},{"Name":"munster","QuotaPerS":100}],
+  "Contract":{"DrainGrace":250,"StartCapacity":0.3,"WarmWithin":15000,"FallMultiple":3,"Fall":1500},
+  "Domain":{"CoresByKind":[8],"RamOfKindMb":[16384],"ThreadsByClass":[1,3,2]},"Report":{"How":"off"}}}"#;
+
+fn read(operator: &str) -> Result<Config, String> {
+    let secret = |_: &str| Some("frost".to_owned());
+    Config::read_both(PLATFORM.into(), Some(("night.hcl", operator)), &secret).map_err(|e| e.to_string())
+}
+
+#[test]
+fn the_example_with_all_blocks_is_good_and_without_it_all_is_off() {
+    let config = read(include_str!("../deploy/operator.hcl")).unwrap();
+    let (mysql, xds) = (config.mysql.unwrap(), config.xds.unwrap());
+    assert_eq!((mysql.accounts.len(), mysql.rules.len(), mysql.rules[0].work_ms), (2, 2, Some(4_000.0)));
+    let cold = xds.terms.cold.unwrap();
+    assert_eq!((cold.instances, cold.proxy_share, cold.request_work_ms), (2, 0.5, 200.0));
+    assert_eq!((xds.terms.listeners[0].name.as_str(), xds.terms.ttl_ms), ("tills", 5_000.0));
+    assert_eq!(config.settings.gateways, 4, "the module keeps to what is not the proxies'");
+    let plain = Config::read(PLATFORM.into(), &|_| None).unwrap();
+    assert!(plain.xds.is_none() && plain.mysql.is_none() && plain.control.http.is_none());
+    assert_eq!(plain.settings.gateways, 2);
+}
+
+#[test]
+fn an_error_of_meaning_names_the_line_in_the_operators_file() {
+    for (operator, told) in [
+        ("xds {\n  listen = \"0.0.0.0:1\"\n}", "night.hcl:2:3: xds.listen is beyond loopback"),
+        ("xds {\n  listen = \"127.0.0.1:0\"\n  proxy_share = \"20%\"\n}", "night.hcl:3:3: xds.proxy_share leaves proxies nothing on cold engines; write 0% or 34% and more"),
+        ("xds {\n  listen = \"127.0.0.1:0\"\n  request_time = \"1 s\"\n}", "night.hcl:3:3: xds.request_ms is under the 1500 ms"),
+        ("xds {\n  listen = \"127.0.0.1:0\"\n  lease_ttl = \"1 ms\"\n}", "night.hcl:3:3: xds.ttl_ms is not a number from 500"),
+        ("xds {\n  listen = \"127.0.0.1:0\"\n  listener \"a\" {\n    address = \"127.0.0.1:1\"\n  }\n  listener \"a\" {\n    address = \"127.0.0.1:2\"\n  }\n}", "night.hcl:6:3: xds.listeners[1].name is 'a'"),
+        ("mysql {\n  listen = \"127.0.0.1:0\"\n  box_user = \"x\"\n  default_class = \"delivery-laod\"\n}", "night.hcl:4:3: mysql.default_class is 'delivery-laod'"),
+        ("mysql {\n  listen = \"127.0.0.1:0\"\n  box_user = \"x\"\n  default_class = \"lookup\"\n}", "night.hcl:4:3: mysql.default_class may be run twice"),
+        ("control {\n  htpt = \"127.0.0.1:0\"\n}", "night.hcl:2:3: control.htpt is not known; did you mean `http`?"),
+        ("control {\n  http = 9090\n  agent = 7\n}", "night.hcl:3:11: control.agent is 7"),
+    ] {
+        let error = read(operator).err().expect("it is wrong");
+        assert!(error.contains(told), "{error}\nnot {told}");
+    }
+    let both = PLATFORM.replacen('{', r#"{"control":{"cluster":"x"},"#, 1);
+    let error = Config::read_both(both.into(), Some(("night.hcl", "control {\n}")), &|_| None).err().unwrap();
+    assert!(
+        error.to_string().contains("night.hcl:1:1: control stands in the platform's configuration too"),
+        "{error}"
+    );
+}
+
+struct Files(std::path::PathBuf);
+
+impl Files {
+    fn new(name: &str) -> Files {
+        let folder = std::env::temp_dir().join(format!("beamgap-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Files(folder)
+    }
+    fn put(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).unwrap();
+    }
+}
+
+fn beamgap(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_beamgap")).args(args).env_remove("NODE_CONFIG").output().unwrap()
+}
+
+#[test]
+fn check_tells_good_from_bad_by_its_exit_code() {
+    let files = Files::new("check");
+    let config = files.put("config.json", PLATFORM);
+    let good = files.put("good.hcl", "control {\n  cluster = \"x\"\n}\n");
+    let wrong = files.put("wrong.hcl", "xds {\n  listen = \"0.0.0.0:1\"\n}\n");
+    for (args, code, told) in [
+        (&["check", &good][..], 0, "good"),
+        (&["check", &config], 0, "good"),
+        (&["check", &good, "--config", &config], 0, "good"),
+        (&["check", &wrong], 0, "good"),
+        (&["check", &wrong, "--config", &config], 1, "wrong.hcl:2:3: xds.listen"),
+        (&["check", "/nowhere.hcl"], 1, "/nowhere.hcl"),
+        (&["chekc", &good], 2, "chekc"),
+        (&["--log", "nonsense=loud"], 1, "NODE_CONFIG"),
+        (&["--version"], 0, "beamgap 0."),
+        (&["xds", "watch", "127.0.0.1:9", "--responses", "1"], 1, "127.0.0.1:9: "),
+    ] {
+        let output = beamgap(args);
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8(text).unwrap();
+        assert!(
+            output.status.code() == Some(code) && text.contains(told),
+            "{args:?}: {:?} {text}",
+            output.status
+        );
+    }
+}
+
+struct Running(Child, std::io::Lines<BufReader<std::process::ChildStderr>>);
+
+impl Running {
+    fn start(config: &str, args: &[&str]) -> Running {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_beamgap"));
+        let mut child = command.args(args).env("NODE_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        Running(child, lines)
+    }
+    fn until(&mut self, what: &str) -> String {
+        let line = self.1.find(|line| line.as_ref().is_ok_and(|line| line.contains(what)));
+        line.unwrap_or_else(|| panic!("it ended before: {what}")).unwrap()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.kill().unwrap();
+        self.0.wait().unwrap();
+    }
+}
+
+#[test]
+fn watch_prints_what_proxies_are_told_and_a_nack_shows_on_the_page_and_in_the_log() {
+    let files = Files::new("watch");
+    let known = r#""known":{"no":1,"items":[{"no":1,"roster":{"rev":1,"all":true,"targets":[
+      {"uid":"s-00000001","endpoint":"127.0.0.1:7","az":"a","model":"std","state":"in_service","capacity_hint":1,"boot_ms":0}]}}]},"#;
+    let config = files.put("config.json", &PLATFORM.replacen('{', &format!("{{{known}"), 1));
+    let operator = "xds {\n  listen = \"127.0.0.1:0\"\n  listener \"tills\" {\n    address = \"127.0.0.1:8080\"\n  }\n}\n\
+                    control {\n  http = \"127.0.0.1:0\"\n  cluster = \"boxes\"\n}\n";
+    let operator = files.put("operator.hcl", operator);
+    let mut running =
+        Running::start(&config, &["--operator", &operator, "--log-format", "json", "--log", "info,list=off"]);
+    let address = |line: String| line.split("address=").nth(1).unwrap().split('"').next().unwrap().to_owned();
+    let http = address(running.until("listen: control=Http"));
+    let line = running.until("listen: xds");
+    assert!(
+        line.starts_with('{') && line.contains(r#""level":"INFO""#) && line.contains(r#""target":"start""#),
+        "{line}"
+    );
+    let xds = address(line);
+    for delta in [false, true] {
+        let mut args = vec!["xds", "watch", &xds, "--responses", "4"];
+        args.extend(delta.then_some("--delta"));
+        let output = beamgap(&args);
+        let text = String::from_utf8(output.stdout).unwrap();
+        assert!(output.status.success(), "{text}");
+        for told in [
+            "cds boxes ",
+            "requests=unbounded",
+            "s-00000001@127.0.0.1:7=healthy,800",
+            "lds tills ",
+            "boxes=800",
+        ] {
+            assert!(text.contains(told), "{text}\nhas no {told}");
+        }
+        args.push("--json");
+        let text = String::from_utf8(beamgap(&args).stdout).unwrap();
+        assert!(text.lines().all(|line| line.starts_with("{\"at_ms\":") && line.ends_with('}')), "{text}");
+    }
+    let mut nacking = Command::new(env!("CARGO_BIN_EXE_beamgap"));
+    nacking.args([
+        "xds",
+        "watch",
+        &xds,
+        "--nack",
+        "lds",
+        "--nack-text",
+        "no such filter",
+        "--node",
+        "till-7",
+    ]);
+    let mut nacking = nacking.stdout(Stdio::piped()).spawn().unwrap();
+    let line = running.until("xds: nack: ");
+    assert!(line.contains("node=till-7 type=lds") && line.contains("error=no such filter"), "{line}");
+    assert!(line.contains(r#""level":"WARN""#), "{line}");
+    // The page is made anew each second.
+    let page = (0..100).find_map(|_| {
+        let mut stream = TcpStream::connect(&http).unwrap();
+        stream.write_all(b"GET /xds/clients HTTP/1.0\r\n\r\n").unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        text.contains("no such filter").then_some(text)
+    });
+    let page = page.expect("the page tells of the NACK");
+    assert!(page.contains(r#""node":"till-7""#) && page.contains(r#""variant":"sotw""#), "{page}");
+    nacking.kill().unwrap();
+    nacking.wait().unwrap();
+}
