--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -34,30 +34,20 @@
 impl Value {
     /// As JSON.
     pub fn json(&self) -> String {
-        match self {
-            Value::Text(text) => quoted(text),
-            Value::Number(number) => number.to_string(),
-            Value::Flag(flag) => flag.to_string(),
-            Value::List(list) => format!("[{}]", list.iter().map(Value::json).collect::<Vec<_>>().join(",")),
-            Value::Map(map) => {
-                let pairs = map.iter().map(|(key, value)| format!("{}:{}", quoted(key), value.json()));
-                format!("{{{}}}", pairs.collect::<Vec<_>>().join(","))
-            }
-        }
+        self.told().to_string()
     }
-}
 
-fn quoted(text: &str) -> String {
-    let mut out = String::from("\"");
-    for c in text.chars() {
-        match c {
-            '"' | '\\' => out.extend(['\\', c]),
-            c if (c as u32) < 0x20 => out.push_str(&format!("\\u{:04x}", c as u32)),
-            c => out.push(c),
+    fn told(&self) -> serde_json::Value {
+        match self {
+            Value::Text(text) => text.as_str().into(),
+            // Whole numbers as such: readers may tell the two apart.
+            Value::Number(number) if number.fract() == 0.0 && number.abs() < 1e15 => (*number as i64).into(),
+            Value::Number(number) => (*number).into(),
+            Value::Flag(flag) => (*flag).into(),
+            Value::List(list) => list.iter().map(Value::told).collect(),
+            Value::Map(map) => map.iter().map(|(key, value)| (key.clone(), value.told())).collect(),
         }
     }
-    out.push('"');
-    out
 }
 
 /// A line and a column, both from 1.
--- /dev/null
+++ b/crates/sim/src/lib.rs
@@ -0,0 +1,7 @@
+//! Models of beamgap's protocols, small enough to be explored completely (stateright).
+//!
+//! [`attempts`] is the protocol of attempts between the node and its engines: send, cancel, confirm, send again, late
+//! answers, broken and cut connections, engines that die. It is a model beside the code, not the code: a change of
+//! `src/node/exchange.rs` or `src/node/backend/warehouse.rs` that touches these steps is to be made here too.
+
+pub mod attempts;
--- a/crates/xds/src/client/watch.rs
+++ b/crates/xds/src/client/watch.rs
@@ -4,6 +4,7 @@
 use super::link::{connect, Link};
 use super::session::{Change, Session};
 use crate::core::stream::Variant;
+use serde_json::{json, Map, Value};
 use std::io::Write;
 use std::time::{Duration, Instant};
 
@@ -115,39 +116,28 @@
 
 /// A change as a line of JSON.
 pub fn json(now: f64, version: &str, change: &Change) -> String {
-    let quoted = crate::core::plane::quoted;
-    match change {
-        Change::Removed(kind, name) => {
-            format!(
-                r#"{{"at_ms":{now:.0},"type":"{}","name":{},"removed":true}}"#,
-                kind.short(),
-                quoted(name)
-            )
-        }
+    let mut line = match change {
+        Change::Removed(kind, name) => json!({ "type": kind.short(), "name": name, "removed": true }),
         Change::Put(kind, name, item) => {
-            let what = match item {
-                Item::Cluster(most) => format!(r#""requests":{most}"#),
-                Item::Listener(at) => {
-                    format!(r#""address":{}"#, at.map_or("null".to_owned(), |at| format!("\"{at}\"")))
-                }
+            let (key, value) = match item {
+                Item::Cluster(most) => ("requests", json!(most)),
+                Item::Listener(at) => ("address", json!(at.map(|at| at.to_string()))),
                 Item::Routes(parts, timeout) => {
-                    let parts: Vec<String> =
-                        parts.iter().map(|(n, w)| format!("{}:{w}", quoted(n))).collect();
-                    format!(r#""timeout_ms":{timeout:.0},"clusters":{{{}}}"#, parts.join(","))
+                    let parts: Map<String, Value> =
+                        parts.iter().map(|(n, w)| (n.clone(), json!(w))).collect();
+                    ("route", json!({ "timeout_ms": timeout, "clusters": parts }))
                 }
                 Item::List(list) => {
                     let each = list.endpoints.iter().map(|e| {
-                        let (name, address) = (quoted(&e.name), e.address);
-                        format!(
-                            r#"{{"name":{name},"address":"{address}","health":"{}","weight":{}}}"#,
-                            e.health, e.weight
-                        )
+                        let (address, health) = (e.address.to_string(), e.health.to_string());
+                        json!({ "name": e.name, "address": address, "health": health, "weight": e.weight })
                     });
-                    format!(r#""drop":{},"endpoints":[{}]"#, list.drop, each.collect::<Vec<_>>().join(","))
+                    ("list", json!({ "drop": list.drop, "endpoints": each.collect::<Vec<_>>() }))
                 }
             };
-            let (kind, name, version) = (kind.short(), quoted(name), quoted(version));
-            format!(r#"{{"at_ms":{now:.0},"type":"{kind}","name":{name},"version":{version},{what}}}"#)
+            json!({ "type": kind.short(), "name": name, "version": version, key: value })
         }
-    }
+    };
+    line["at_ms"] = json!(now.round());
+    line.to_string()
 }
--- a/crates/xds/src/core/plane.rs
+++ b/crates/xds/src/core/plane.rs
@@ -8,8 +8,9 @@
 use super::loads::Loads;
 use super::picture::{Engine, EngineName, Health, Picture, Terms};
 use super::resources::{self, Kind, Resource, Set};
-use super::stream::{Ask, Meant, Response, Stream, StreamError, Variant};
+use super::stream::{Ask, Meant, Response, Stream, StreamError, Sub, Variant};
 use super::tombs::Tombs;
+use serde_json::{json, Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -394,38 +395,42 @@
 
     /// Who is connected and what they hold, as JSON.
     pub fn status(&self, now: f64) -> String {
-        let age = |at: Option<f64>| at.map_or("null".to_owned(), |at| format!("{:.0}", now - at));
-        let clients: Vec<String> = self.proxies.iter().map(|(holder, proxy)| {
-            let types: Vec<String> = proxy.stream.subs().map(|(kind, sub)| {
-                let nack = sub.nacked.as_ref().map_or("null".to_owned(), |nack| {
-                    format!(r#"{{"age_ms":{:.0},"error":{}}}"#, now - nack.at, quoted(&nack.error))
-                });
-                format!(
-                    r#""{}":{{"version":{},"resources":{},"waiting":{},"ack_age_ms":{},"nacks":{},"last_nack":{nack}}}"#,
-                    kind.short(), quoted(&sub.version), sub.good().len(), sub.waiting(), age(sub.acked), sub.nacks
-                )
-            }).collect();
-            let variant = if proxy.stream.variant == Variant::Delta { "delta" } else { "sotw" };
-            let leases: Vec<String> = proxy.clusters.values().filter_map(|r| r.lease.as_ref())
-                .map(|(engine, most)| format!("{}:{most}", quoted(engine))).collect();
-            format!(
-                r#"{{"stream":{holder},"node":{},"peer":{},"variant":"{variant}","since_ms":{:.0},"share":{:.3},"in_progress":{:.1},"leases":{{{}}},"types":{{{}}}}}"#,
-                quoted(&proxy.node), quoted(&proxy.peer), now - proxy.since, self.shares.share(*holder),
-                self.loads.in_progress(&proxy.node), leases.join(","), types.join(",")
-            )
-        }).collect();
-        let warming: Vec<String> = self
-            .warming
-            .keys()
-            .map(|engine| format!(r#"{}:{}"#, quoted(engine), self.leases.held(engine)))
-            .collect();
-        format!(
-            r#"{{"engines":{},"streams":{},"leased":{{{}}},"clients":[{}]}}"#,
-            self.shown.engines.len(),
-            self.proxies.len(),
-            warming.join(","),
-            clients.join(",")
-        )
+        let clients: Vec<Value> =
+            self.proxies.iter().map(|(holder, proxy)| self.client(now, *holder, proxy)).collect();
+        let leased: Map<String, Value> =
+            self.warming.keys().map(|engine| (engine.to_string(), self.leases.held(engine).into())).collect();
+        let (engines, streams) = (self.shown.engines.len(), self.proxies.len());
+        json!({ "engines": engines, "streams": streams, "leased": leased, "clients": clients }).to_string()
+    }
+
+    fn client(&self, now: f64, holder: Holder, proxy: &Proxy) -> Value {
+        let age = |at: f64| (now - at).round();
+        let of = |(kind, sub): (Kind, &Sub)| {
+            let nack = sub.nacked.as_ref().map(|nack| json!({ "age_ms": age(nack.at), "error": nack.error }));
+            let told = json!({
+                "version": sub.version,
+                "resources": sub.good().len(),
+                "waiting": sub.waiting(),
+                "ack_age_ms": sub.acked.map(age),
+                "nacks": sub.nacks,
+                "last_nack": nack,
+            });
+            (kind.short().to_owned(), told)
+        };
+        let leases = proxy.clusters.values().filter_map(|r| r.lease.as_ref());
+        let leases: Map<String, Value> =
+            leases.map(|(engine, most)| (engine.to_string(), (*most).into())).collect();
+        json!({
+            "stream": holder,
+            "node": proxy.node,
+            "peer": proxy.peer,
+            "variant": if proxy.stream.variant == Variant::Delta { "delta" } else { "sotw" },
+            "age_ms": age(proxy.since),
+            "share": (self.shares.share(holder) * 1000.0).round() / 1000.0,
+            "in_progress": (self.loads.in_progress(&proxy.node) * 10.0).round() / 10.0,
+            "leases": leases,
+            "types": proxy.stream.subs().map(of).collect::<Map<String, Value>>(),
+        })
     }
 }
 
@@ -525,17 +530,3 @@
         self.routes.iter().map(|r| (r.name.clone(), r.clone())).collect()
     }
 }
-
-/// Text as a JSON string, quotes included.
-pub fn quoted(text: &str) -> String {
-    let mut out = String::from("\"");
-    for c in text.chars() {
-        match c {
-            '"' | '\\' => out.extend(['\\', c]),
-            c if (c as u32) < 0x20 => out.push_str(&format!("\\u{:04x}", c as u32)),
-            c => out.push(c),
-        }
-    }
-    out.push('"');
-    out
-}
