--- a/crates/xds/src/core/allot.rs
+++ b/crates/xds/src/core/allot.rs
@@ -138,11 +138,6 @@
         self.tidy();
     }
 
-    /// Leases in force, and those that only wait for their end.
-    pub fn len(&self) -> usize {
-        self.0.values().map(BTreeMap::len).sum()
-    }
-
     /// Whether there are none.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
@@ -263,16 +258,6 @@
         order.sort_unstable();
         order.into_iter().map(|(_, holder)| holder).collect()
     }
-
-    /// How many proxies are known, those that left of late included.
-    pub fn len(&self) -> usize {
-        self.members.len()
-    }
-
-    /// Whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.members.is_empty()
-    }
 }
 
 /// FNV-1a over the parts: the same on every machine and in every release.
--- a/crates/xds/src/core/plane.rs
+++ b/crates/xds/src/core/plane.rs
@@ -378,21 +378,11 @@
         self.proxies.iter().filter(|(_, proxy)| proxy.dirty).map(|(holder, _)| *holder)
     }
 
-    /// Streams that are open.
-    pub fn streams(&self) -> usize {
-        self.proxies.len()
-    }
-
     /// The leases, to look at.
     pub fn leases(&self) -> &Leases {
         &self.leases
     }
 
-    /// What is told now.
-    pub fn shown(&self) -> &Picture {
-        &self.shown
-    }
-
     /// Who is connected and what they hold, as JSON.
     pub fn status(&self, now: f64) -> String {
         let clients: Vec<Value> =
--- a/crates/xds/src/core/tombs.rs
+++ b/crates/xds/src/core/tombs.rs
@@ -52,11 +52,6 @@
         self.0.contains_key(name)
     }
 
-    /// Whether there are none.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     /// The names.
     pub fn names(&self) -> impl Iterator<Item = &EngineName> {
         self.0.keys()
