--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,9 +37,6 @@
 const PLAN_MS: f64 = 20_000.0; // ms; half-life of the counts of table groups
 const KNOWN: f64 = 4.0; // recent answers that make an engine's own stretch count half
 const RECENT_MS: f64 = 3000.0; // ms; half-life of what is known of one engine
-const ASK_FEW: usize = 3; // engines asked for a report before a large query: the next, should one be full
-const ASK_WAIT: Micros = Micros::from_millis(15); // what a large query waits for it; short against its run
-const ASK_SHARE: f64 = 0.5; // reports asked for that a request earns: half a probe each
 const BOUND_START: f64 = 1.8; // threads a core, all gateways; over 1, as some wait for disks
 const BOUND_CAREFUL: f64 = 1.0; // threads a core at first where more is let in than memory holds
 const BOUND_LOW: f64 = 0.6; // threads a core; never less, to keep an engine in use
@@ -57,6 +54,7 @@
 const PUMP_MOST: usize = 8; // held requests tried in one pass; bounds its work
 const WINDOW_MARGIN: Micros = Micros::from_millis(200); // a keyed repeat stays inside its window by this
 const COLD_MARGIN: f64 = 0.75; // share of a cold engine's budget in use: its capacity is a guess
+const COLD_PACE: f64 = 1.0; // of a cold engine's capacity that heavy work takes by turns
 const CHANCE: f64 = 2.5; // deviations of what all send to a cold engine by chance that must still fit
 const FULL_RATE: f64 = 0.85; // share of the cores in use that counts as capacity
 const SILENCE_NOTES: f64 = 1.3; // times the pause between notes after which silence is sure
@@ -117,7 +115,6 @@
     stretch_n: f64,
     best: f64,
     surveyed: Micros,
-    asks: f64,
     model: Model,
     miss_list: MissList,
     blocked: BTreeMap<(usize, u64), Micros>,
@@ -270,7 +267,6 @@
     fn arrived(&mut self, mut request: Request, out: &mut Vec<Action>) {
         request.class.0 = request.class.0.min(self.settings.classes.len() - 1);
         self.extra = (self.extra + EXTRA_SHARE).min(EXTRA_MOST);
-        self.asks = (self.asks + ASK_SHARE * self.report_worth().powi(2)).min(EXTRA_MOST);
         self.counts.taken.push_back(self.now);
         let tenant = self.settings.tenants.iter().find(|t| Some(&*t.name) == request.tenant.as_deref());
         let seen = tenant.map_or(0.0, |t| self.tenants.count(&t.name)) * self.gateways();
@@ -379,7 +375,7 @@
     /// its kind's mean. Busy cores are the least that runs: any number may wait for them.
     fn others(&self, e: usize) -> f64 {
         let (engine, n) = (&self.engines[e], self.gateways());
-        let sample = self.shown[engine.kind].sample(engine, n, PRIOR_QUERIES) * self.warmth(engine).powi(2);
+        let sample = self.shown[engine.kind].sample(engine, n, PRIOR_QUERIES) * engine.warm;
         let Some(told) = engine.told(&self.shown[engine.kind]) else { return sample };
         let trust = engine.trust * self.report_worth();
         let blend = trust * told + (1.0 - trust) * sample;
@@ -396,7 +392,10 @@
         self.middle = sum(|l| l.n * l.work_ms) / sum(|l| l.n).max(1.0);
         let past = self.now.since(self.surveyed);
         self.surveyed = self.now;
-        for engine in &mut self.engines {
+        for e in 0..self.engines.len() {
+            let warmth = self.warmth(&self.engines[e]);
+            let engine = &mut self.engines[e];
+            engine.warm = warmth.powi(2);
             engine.trust *= fade(past, REPORT_MS);
             if matches!(engine.health, Health::Ejected(until) if until <= self.now) {
                 engine.health = Health::HalfOpen;
@@ -414,7 +413,8 @@
         }
         let over = self.crowd.share(self.now, CROWD_MS, PRIOR_ATTEMPTS) - CROWD_AIM;
         let step = CROWD_PACE * over * past.as_millis().min(1000.0) / 1000.0;
-        self.admitted = (self.admitted * (1.0 - step)).clamp(ADMIT_LEAST, 1.0);
+        let of = if step > 0.0 { self.admitted } else { 1.0 };
+        self.admitted = (self.admitted - step * of).clamp(ADMIT_LEAST, 1.0);
         let listed = self.engines.iter().filter(|e| e.listed);
         self.best = listed.map(|e| e.stretch).fold(f64::INFINITY, f64::min).clamp(0.7, 1.3);
     }
@@ -505,31 +505,6 @@
         engine.stretch > STRETCH_LOW * self.best || self.lined(engine) || load >= engine.cores
     }
 
-    /// Asks the next few engines for their load before a large query, which waits a moment. Rationed.
-    fn ask(&mut self, seq: u64, fits: &[usize], out: &mut Vec<Action>) -> bool {
-        let (now, job) = (self.now, &self.jobs[&seq]);
-        let told = self.settings.probes
-            && self.settings.reports != Reports::Absent
-            && !fits.first().is_none_or(|e| self.engines[*e].tells_queue_only());
-        let asked = now.since(job.taken) > ASK_WAIT && now.since(job.asked) < BOUND_PAUSE;
-        if !told || asked || self.is_small(job) {
-            return false;
-        }
-        let mut open = false;
-        for &e in fits.iter().take(ASK_FEW) {
-            let engine = &mut self.engines[e];
-            let old = engine.report_at.is_none_or(|at| now.since(at) > BEAT);
-            if old && now.since(engine.asked) > BEAT && self.asks >= 1.0 {
-                self.asks -= 1.0;
-                engine.asked = now;
-                out.push(Action::Probe(engine.member.engine.clone()));
-            }
-            open |= old && now.since(engine.asked) <= ASK_WAIT;
-        }
-        self.job(seq).asked = now;
-        open
-    }
-
     /// Sends the request, holds it, or ends it.
     fn dispatch(&mut self, seq: u64, out: &mut Vec<Action>) {
         let ranked = self.ranked(&self.jobs[&seq]);
@@ -541,10 +516,6 @@
         let (holds, tables) = (self.class(&self.jobs[&seq]).holds_tables, self.jobs[&seq].request.tables);
         let taken = |e: &usize| self.blocked.get(&(*e, tables)).is_some_and(|until| *until > self.now);
         fits.retain(|e| !(holds && taken(e)));
-        if self.ask(seq, &fits, out) {
-            self.held.insert(seq);
-            return;
-        }
         let job = &self.jobs[&seq];
         let (flagged, threads) = (job.flagged == Some(true), self.threads(job));
         let waits = fits.is_empty() || flagged || self.in_time(job);
@@ -561,7 +532,8 @@
         let heard = |e: &Engine| self.lined(e) || self.now.since(e.answered) < WINDOW;
         let losing = !passes && self.losing();
         fits.retain(|e| !losing || heard(&self.engines[*e]));
-        let mut choice = fits.iter().find(room).copied().filter(|_| !dear);
+        let calm = |e: &usize| !dear || !self.pressed(*e, self.load(*e));
+        let mut choice = fits.iter().find(room).copied().filter(calm);
         if choice.is_none() && !dear && !flagged && (passes || fits.iter().any(free_cores)) {
             let load = |e: &usize| self.load(*e) / self.engines[*e].cores;
             fits.retain(|e| passes || free_cores(e));
@@ -689,16 +661,26 @@
         rule.start_share + (1.0 - rule.start_share) * warm.min(1.0).powi(2)
     }
 
-    /// Own part of what a cold engine bears, less room for chance; a part under one query is rationed by time
-    /// from a moment that differs by gateway. One that came up later has forgotten what it sent: anew.
+    /// Own part of what a cold engine bears. Light work: a ration, less room for chance, by time from a moment
+    /// that differs by gateway where it is under one query. Heavy work, of which a gateway's part is far under
+    /// one query: by turns that go round all gateways, a query each, so that what they send together is even.
     fn cold_allows(&self, engine: &Engine, work_ms: f64) -> bool {
         let (Some(rule), Some(started)) = (self.settings.cold, engine.started) else { return true };
         let (n, share, born) = (self.gateways(), self.warmth(engine), self.born.unwrap_or_default());
         if share >= 1.0 {
             return true;
         }
-        let bears = COLD_MARGIN * rule.fall_multiple * share * engine.cores * FULL_RATE;
-        let mean = mean_within(bears * rule.fall_span.as_millis(), work_ms * (1.0 - 1.0 / n), CHANCE);
+        let (able, span) = (share * engine.cores * FULL_RATE, rule.fall_span.as_millis());
+        let heaviest = self.learned.iter().map(|l| l.work_ms).fold(work_ms, f64::max);
+        let turn = turn_ms(heaviest / (COLD_PACE * able), span);
+        if n > 1.0 && 2.0 * work_ms > heaviest && turn >= BEAT.as_millis() {
+            let (no, since) = ((self.now.as_millis() / turn) as u64, self.now.as_millis() % turn);
+            let sent = |(t, w): &(Micros, f64)| 2.0 * w > heaviest && self.now.since(*t).as_millis() <= since;
+            return (no + engine.hash) % n as u64 == u64::from(self.settings.me)
+                && !engine.cold_sent.iter().any(sent);
+        }
+        let bears = COLD_MARGIN * rule.fall_multiple * able;
+        let mean = mean_within(bears * span, work_ms * (1.0 - 1.0 / n), CHANCE);
         let longer = (work_ms * n / mean).max(1.0);
         let span = Micros((rule.fall_span.0 as f64 * longer) as u64);
         let start = mix(engine.hash ^ mix(u64::from(self.settings.me))) as f64 / u64::MAX as f64;
--- a/src/node/backend/warehouse.rs
+++ b/src/node/backend/warehouse.rs
@@ -4,7 +4,7 @@
 use super::Cx;
 use crate::node::bulletin::Listing;
 use crate::node::deadlines::{Deadlines, Handle, Wake};
-use crate::node::exchange::{Answer, AttemptRef, Ended, Heard, Start};
+use crate::node::exchange::{Answer, AttemptRef, Ended, Heard, Start, ACCOUNT};
 use crate::node::reactor::{Link, Owner, ReadEnd};
 use crate::node::slots::{Key, Slots};
 use crate::{settings, EngineId, ListKind, LoadReport, Micros, Note, Outcome, TrueCost};
@@ -12,6 +12,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tracing::trace;
 
 const LOOK_MS: f64 = 250.0; // between looks at a connection: twice as often as notes come
 const QUIET_MS: f64 = 700.0; // without a byte while attempts are out; then `there` asks whether it works
@@ -321,6 +322,7 @@
             spent: HashSet::new(),
         });
         engine.links.push(key);
+        trace!(target: ACCOUNT, "dial: engine={} links={} all={}", id.0, engine.links.len(), self.conns.len());
         let watched = self.conns.get_mut(key)?.link.watch(cx.registry, Owner::Warehouse(key));
         if watched.is_err() {
             self.lose(key, Outcome::ConnectFailed, cx);
@@ -388,6 +390,7 @@
                     return self.lose(key, Outcome::ConnectFailed, cx);
                 }
                 Some(Ok(())) => {
+                    trace!(target: ACCOUNT, "up: engine={} ms={:.1}", conn.engine.0, cx.now - conn.since);
                     (conn.up, conn.heard) = (true, cx.now);
                     conn.look_at(cx.now + LOOK_MS, key, cx.deadlines);
                 }
@@ -545,6 +548,8 @@
     /// connection, since one that breaks says nothing of the warehouse, or ends so if there was none in time.
     fn lose(&mut self, key: Key, outcome: Outcome, cx: &mut Cx) {
         let Some(conn) = self.conns.remove(key) else { return };
+        let (id, up, ms) = (&conn.engine.0, conn.up, cx.now - conn.since);
+        trace!(target: ACCOUNT, "close: engine={id} up={up} ms={ms:.1} load={}", conn.load());
         self.roster.unlink(&conn.engine, key);
         conn.next_look.into_iter().for_each(|look| cx.deadlines.clear(look));
         let called_off = conn.called_off.into_iter().map(|(_, at, _)| (at, Outcome::Cancelled));
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -11,6 +11,10 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
+use tracing::trace;
+
+/// The part of the log with a line for each step of each request: off unless asked for (`--log account=trace`).
+pub const ACCOUNT: &str = "account";
 
 /// After the client's deadline, an answer that is still owed is given this much later: the decision module has
 /// had its time-out by then, and the platform's grace is 20 ms.
@@ -119,6 +123,19 @@
     Error(Vec<u8>),
 }
 
+impl Answer {
+    /// Its kind in one word, for the log.
+    fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+            Answer::TimedOut => "late",
+            Answer::Error(_) => "error",
+        }
+    }
+}
+
 /// Names an attempt of an open request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptRef {
@@ -365,6 +382,7 @@
         if let Some(open) = self.open.get_mut(key) {
             open.over = Some(deadlines.set(deadline + LAST_WORD, Wake::RequestOver(key)));
         }
+        trace!(target: ACCOUNT, "ask: id={} class={}", id.0, self.open.get(key).map_or(0, |o| o.ask.class.0));
         self.names.insert(id, key);
         self.askers.insert(asker, key);
         self.tell(now, Event::Arrived(request), deadlines);
@@ -372,6 +390,9 @@
 
     fn ended(&mut self, now: f64, ended: Ended, deadlines: &mut Deadlines) {
         let Some(closed) = self.close_attempt(now, &ended, deadlines) else { return };
+        let (id, engine, outcome) = (&closed.request.0, &closed.engine.0, closed.outcome);
+        let ms = closed.latency.as_millis();
+        trace!(target: ACCOUNT, "end: id={id} engine={engine} outcome={outcome:?} ms={ms:.1}");
         let key = ended.attempt.request;
         if let Some(answer) = ended.answer {
             self.answer(key, answer);
@@ -402,6 +423,9 @@
     fn answer(&mut self, key: Key, answer: Answer) {
         let Some(asker) = self.open.get_mut(key).and_then(|open| open.asker.take()) else { return };
         self.askers.remove(&asker);
+        if let Some(open) = self.open.get(key) {
+            trace!(target: ACCOUNT, "answer: id={} {}", open.ask.name, answer.word());
+        }
         self.orders.push(Order::Answer(asker, answer));
     }
 
@@ -521,6 +545,9 @@
             let (cost, report) = (None, None);
             return Some(Closed { request, attempt, engine, outcome, latency, request_over, cost, report });
         }
+        let (class, work) = (open.ask.class.0, open.ask.work_ms.unwrap_or(0.0));
+        let (id, to, no) = (&request.0, &engine.0, attempt.0);
+        trace!(target: ACCOUNT, "send: id={id} class={class} engine={to} attempt={no} work={work:.0}");
         let due = deadlines.set(now + max_ms, Wake::AttemptOver(key, attempt));
         open.out = Some(Out { attempt, engine: engine.clone(), since: now, due });
         self.orders.push(Order::Start(Start {
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,8 @@
     pub memory_mb: f64,
     pub kind: usize,
     pub listed: bool,
+    /// Share of an engine's even part of all work that it holds as it warms, as of the last survey.
+    pub warm: f64,
     pub started: Option<Micros>,
     pub cold_sent: VecDeque<(Micros, f64)>,
     pub out: f64,
@@ -38,7 +40,6 @@
     pub trust: f64,
     pub stretch_n: f64,
     pub answered: Micros,
-    pub asked: Micros,
     pub signs: Tally,
     pub doubt: f64,
     pub weighed: Micros,
@@ -62,7 +63,7 @@
 
 impl Engine {
     pub fn new(id: &EngineId) -> Engine {
-        Engine { hash: hash_text(&id.0), quota: 1.0, ..Engine::default() }
+        Engine { hash: hash_text(&id.0), quota: 1.0, warm: 1.0, ..Engine::default() }
     }
     /// Forgets what was known of the process before.
     pub fn restarted(&mut self, started: Option<Micros>, bound: f64) {
@@ -95,11 +96,6 @@
         self.cold_sent.retain(|(t, _)| now.since(*t) <= span);
         self.cold_sent.push_back((now, work_ms));
     }
-    /// Whether it has reported, and no figure of its load.
-    pub fn tells_queue_only(&self) -> bool {
-        let r = &self.report;
-        self.report_at.is_some() && r.in_flight.is_none() && r.busy.is_none() && r.memory_share.is_none()
-    }
     /// Threads of others by the last report. Own queries are taken as they were when it came, so that an own
     /// send counts at once on top.
     pub fn told(&self, shown: &Shown) -> Option<f64> {
@@ -201,7 +197,6 @@
     /// Of its id.
     pub hash: u64,
     pub taken: Micros,
-    pub asked: Micros,
     pub deadline: Micros,
     pub over: bool,
     pub over_share: bool,
@@ -357,7 +352,11 @@
     pub out: f64,
     pub threads: f64,
     pub memory: f64,
+    /// Own queries, their threads and all cores of engines from which no fresh report speaks.
+    pub unheard: [f64; 3],
     pub spread: f64,
+    /// The same where no fresh report speaks.
+    pub spread_unheard: f64,
     /// Share of its even part that is left to classes open to all.
     pub left: f64,
 }
@@ -372,10 +371,13 @@
         by_stretch: f64,
     ) {
         let (mut out, mut threads, mut memory, mut cores, mut count) = (0.0, 0.0, 0.0, 0.0, 0.0);
-        let (mut known, mut told, mut least) = (0.0, 0.0, false);
+        let (mut known, mut told, mut least, mut unheard) = (0.0, 0.0, false, [0.0; 3]);
         for engine in engines {
             least |= engine.report.busy.is_some() && engine.report.in_flight.is_none();
-            (cores, count, out) = (cores + engine.cores, count + 1.0, out + engine.out);
+            // What warms up holds little: the queries that are out are on the others.
+            (cores, count, out) = (cores + engine.cores * engine.warm, count + 1.0, out + engine.out);
+            let parts = [engine.out, engine.threads, engine.cores * engine.warm];
+            unheard.iter_mut().zip(parts).for_each(|(sum, part)| *sum += (1.0 - engine.trust) * part);
             (threads, memory) = (threads + engine.threads, memory + engine.memory_out);
             if let Some(others) = engine.told(self) {
                 known += engine.trust * engine.cores;
@@ -387,16 +389,25 @@
         self.memory = kept * self.memory + (1.0 - kept) * memory;
         if count > 0.0 {
             // Few own queries say little; then the stretch of answers tells how crowded cores are.
-            let (own, one) = (self.threads * gateways / cores, cores / count / 2.0);
-            let own = (own * self.out + by_stretch) / (self.out + 1.0);
-            let blend = (own * one + told) / (one + known);
-            self.spread = if least { blend.max(own) } else { blend }; // Busy cores tell the least that runs.
+            let own = |out: f64, threads: f64, cores: f64| {
+                (threads * gateways / cores.max(1e-3) * out + by_stretch) / (out + 1.0)
+            };
+            let (all, one) = (own(self.out, self.threads, cores), cores / count / 2.0);
+            let blend = (all * one + told) / (one + known);
+            self.spread = if least { blend.max(all) } else { blend }; // Busy cores tell the least that runs.
+                                                                      // Reports come with answers, so that of many gateways each hears most from engines with little to do:
+                                                                      // these say nothing of the others. What it has out there does, and is one part in `gateways` of all.
+            let before = self.unheard.iter_mut().zip(unheard);
+            before.for_each(|(sum, part)| *sum = kept * *sum + (1.0 - kept) * part);
+            let [out, threads, cores] = self.unheard;
+            self.spread_unheard = (own(out, threads, cores) * out + self.spread) / (out + 1.0);
         }
     }
     /// Threads of all other gateways on an engine, as far as own queries there, one in `gateways` of all, tell
     /// against a mean that weighs as much as `prior` queries.
     pub fn sample(&self, engine: &Engine, gateways: f64, prior: f64) -> f64 {
-        let mean = (self.spread * engine.cores / self.threads_a_query()).max(1e-6);
+        let spread = engine.trust * self.spread + (1.0 - engine.trust) * self.spread_unheard;
+        let mean = (spread * engine.cores / self.threads_a_query()).max(1e-6);
         let queries = (gateways - 1.0) * (prior + engine.out) / (prior * gateways / mean + 1.0);
         queries * self.threads_a_query()
     }
@@ -548,6 +559,12 @@
     (((noise * noise + 4.0 * most).sqrt() - noise) / 2.0).powi(2).max(0.1)
 }
 
+/// The length of a turn, as near to `ms` as halves and doubles of `span` come: gateways whose figures differ a
+/// little still agree whose turn it is.
+pub fn turn_ms(ms: f64, span: f64) -> f64 {
+    span * (ms / span).log2().round().exp2()
+}
+
 /// Distance of an engine from what is placed, for the order of a weighted rendezvous: to be divided by a weight.
 pub fn rendezvous(engine: u64, placed: u64) -> f64 {
     -(((mix(engine ^ mix(placed)) >> 11) as f64 + 1.0) / (1u64 << 53) as f64).ln()
