--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,6 +18,7 @@
 const LEARN: f64 = 0.15; // step of the model; some tens of answers move it from rest
 const MISSES: usize = 256; // entries of the miss list; bounds memory
 const MISS_AGE: Micros = Micros::from_millis(60_000); // age in the miss list; tables and plans change
+const GRANT_PART: f64 = 0.85; // of the memory, granted by threads; the rest is for light queries
 const NEED_MARGIN: f64 = 0.9; // deviations of the log estimate error; about four needs in five are covered
 const PRIOR_SD: f64 = 0.4; // log error of an estimate before answers tell: about a factor 1.5
 const PRIOR_SLOPE: f64 = 0.6; // log of truth by log of estimate: estimates scatter about as much as truth
@@ -54,7 +55,8 @@
 const PUMP_MOST: usize = 8; // held requests tried in one pass; bounds its work
 const WINDOW_MARGIN: Micros = Micros::from_millis(200); // a keyed repeat stays inside its window by this
 const COLD_MARGIN: f64 = 0.75; // share of a cold engine's budget in use: its capacity is a guess
-const COLD_PACE: f64 = 1.0; // of a cold engine's capacity that heavy work takes by turns
+const COLD_EASE: f64 = 0.15; // times the time to warm, over which gateways end their rations
+const COLD_PACE: f64 = 1.5; // times what a cold engine can do, in turns: not all are used
 const CHANCE: f64 = 2.5; // deviations of what all send to a cold engine by chance that must still fit
 const FULL_RATE: f64 = 0.85; // share of the cores in use that counts as capacity
 const SILENCE_NOTES: f64 = 1.3; // times the pause between notes after which silence is sure
@@ -106,6 +108,7 @@
     middle: f64,
     shown: Vec<Shown>,
     signs: Tally,
+    zones: Zones,
     /// How crowded engines showed themselves, by the work of those who met them.
     crowd: Tally,
     /// Asked work by its price, and the share of it that is admitted, cheapest first.
@@ -229,6 +232,7 @@
             let engine = &mut self.engines[e];
             if new || member.started > engine.started {
                 engine.restarted(member.started, start * cores);
+                self.zones.named(&member.zone).tell(e, true);
             }
             (engine.cores, engine.memory_mb) = (cores, memory_mb);
             engine.kind = kind.unwrap_or(self.settings.kinds.len());
@@ -483,7 +487,10 @@
         let (engine, class) = (&self.engines[e], self.class(&self.jobs[&seq]));
         let tries = engine.health == Health::HalfOpen && engine.out < 1.0;
         // What can't be sent again is never the trial of an engine that failed.
-        (engine.health == Health::Well || (tries && class.repeat != Repeat::Unsafe)) && self.may_send(seq, e)
+        let trial = || class.repeat == Repeat::Safe && self.zones.due(&engine.member.zone, self.now);
+        (engine.health == Health::Well || (tries && class.repeat != Repeat::Unsafe))
+            && (!self.zone_lost(e) || trial())
+            && self.may_send(seq, e)
     }
 
     /// Past the bound, which binds under pressure; a line counts the more the less own threads tell.
@@ -529,9 +536,6 @@
         let light_class = 2.0 * self.learned[job.request.class.0].work_ms <= self.middle;
         let passes = self.is_small(job) || (light_class && self.is_light(job));
         let dear = !passes && self.too_dear(job);
-        let heard = |e: &Engine| self.lined(e) || self.now.since(e.answered) < WINDOW;
-        let losing = !passes && self.losing();
-        fits.retain(|e| !losing || heard(&self.engines[*e]));
         let calm = |e: &usize| !dear || !self.pressed(*e, self.load(*e));
         let mut choice = fits.iter().find(room).copied().filter(calm);
         if choice.is_none() && !dear && !flagged && (passes || fits.iter().any(free_cores)) {
@@ -569,13 +573,6 @@
         self.crowd.add(self.now, weight, weight * crowded, CROWD_MS);
     }
 
-    /// Two engines or more take no connection: a pod may restart, unlisted, and come back cold without lines.
-    /// Heavy work goes to engines heard of lately, nothing moves out of lines. Harms: fewer choices.
-    fn losing(&self) -> bool {
-        let lost = |e: &&Engine| e.lost_at.is_some_and(|at| self.now.since(at) < WINDOW);
-        self.engines.iter().filter(lost).count() > 1
-    }
-
     /// Worth nothing late, not to be done before its client leaves, or lost if this gateway stands still.
     fn too_late(&self, job: &Job) -> bool {
         let left = job.request.left.as_millis();
@@ -661,14 +658,16 @@
         rule.start_share + (1.0 - rule.start_share) * warm.min(1.0).powi(2)
     }
 
-    /// Own part of what a cold engine bears. Light work: a ration, less room for chance, by time from a moment
-    /// that differs by gateway where it is under one query. Heavy work, of which a gateway's part is far under
-    /// one query: by turns that go round all gateways, a query each, so that what they send together is even.
+    /// Own part of what a cold engine bears. Light work: a ration, less room for chance, by time from a time
+    /// that differs by gateway where it is under one query. Heavy work, of which the part is far under that:
+    /// by turns that go round all gateways, a query each, so that what they send together is even.
     fn cold_allows(&self, engine: &Engine, work_ms: f64) -> bool {
         let (Some(rule), Some(started)) = (self.settings.cold, engine.started) else { return true };
         let (n, share, born) = (self.gateways(), self.warmth(engine), self.born.unwrap_or_default());
-        if share >= 1.0 {
-            return true;
+        let start = mix(engine.hash ^ mix(u64::from(self.settings.me))) as f64 / u64::MAX as f64;
+        let ease = 1.0 + COLD_EASE * start * (1.0 - 1.0 / n);
+        if self.now.since(started).as_millis() >= rule.warm_within.as_millis() * ease {
+            return true; // Not at all gateways at once: what waits at each would come together.
         }
         let (able, span) = (share * engine.cores * FULL_RATE, rule.fall_span.as_millis());
         let heaviest = self.learned.iter().map(|l| l.work_ms).fold(work_ms, f64::max);
@@ -683,7 +682,6 @@
         let mean = mean_within(bears * span, work_ms * (1.0 - 1.0 / n), CHANCE);
         let longer = (work_ms * n / mean).max(1.0);
         let span = Micros((rule.fall_span.0 as f64 * longer) as u64);
-        let start = mix(engine.hash ^ mix(u64::from(self.settings.me))) as f64 / u64::MAX as f64;
         let recent = engine.cold_sent.iter().filter(|(t, _)| self.now.since(*t) <= span).map(|(_, w)| w);
         let waited = self.now.since(started.max(born)).0 as f64 >= start * span.0 as f64;
         ((longer <= 1.0 && born <= started) || waited)
@@ -691,6 +689,8 @@
     }
 
     fn send(&mut self, seq: u64, e: usize, out: &mut Vec<Action>) {
+        let trial = self.zone_lost(e);
+        trial.then(|| self.zones.of(&self.engines[e]).try_again(self.now, EJECT_FIRST, EJECT_LONGEST));
         let job = &self.jobs[&seq];
         let (learned, threads) = (&self.learned[job.request.class.0], self.threads(job));
         let (usual, holds) = (learned.usual(job.work_ms), self.class(job).holds_tables);
@@ -705,7 +705,8 @@
         let (wasted, tokens) = (job.wasted(), self.settings.grants);
         let engine = &mut self.engines[e];
         let job = self.jobs.get_mut(&seq).expect("a number in use names a job");
-        let part = if tokens { threads * engine.memory_mb / engine.bound.max(threads) } else { 0.0 };
+        let part =
+            if tokens { GRANT_PART * threads * engine.memory_mb / engine.bound.max(threads) } else { 0.0 };
         let memory = job.need_mb.max(part).min(engine.memory_mb * self.settings.largest_grant).max(0.0);
         let memory_mb = if self.settings.grants { memory.ceil() as u64 } else { 0 };
         let request = job.request.id.clone();
@@ -865,12 +866,13 @@
         t.hear(now, note);
         let (e, age, expect, stalled) = (t.engine, now.since(t.sent).as_millis(), t.expect_ms, t.stalled);
         let (troubled, tables) = (job.troubled, job.request.tables);
+        self.zones.of(&self.engines[e]).tell(e, true);
         if note == Note::WaitsForMemory {
             self.met_line(e, self.jobs[&seq].work_ms);
             let (job, threads) = (&self.jobs[&seq], self.threads(&self.jobs[&seq]));
             let free = |o: usize| self.engines[o].health == Health::Well && !self.past_bound(o, threads);
             let better = || self.ranked(job).into_iter().any(|o| !job.tried(o) && free(o));
-            if job.tries.len() < MOVES && !self.losing() && better() {
+            if job.tries.len() < MOVES && better() {
                 self.cancel_and_resend(seq, attempt, out); // A place in line is lost, no work.
             }
         }
@@ -947,7 +949,8 @@
                 let (quiet, age) = (self.now.since(t.heard).as_millis(), self.now.since(t.sent).as_millis());
                 let (light, patience) = (self.is_light(job), (HEDGE_TIMES * t.expect_ms).max(HEDGE_LEAST_MS));
                 // Lost: its engine is out, twice the patience is over, or it has missed a note of its own.
-                let lost = (matches!(engine.health, Health::Ejected(_)) && age > t.expect_ms * 1.5)
+                let out = matches!(engine.health, Health::Ejected(_)) || self.zone_lost(t.engine);
+                let lost = (out && age > t.expect_ms * 1.5)
                     || (light && !t.waits && age > 2.0 * patience)
                     || (!t.waits && quiet > sure);
                 let doubt = !t.doubted && !t.waits && quiet > (2.0 * patience).min(sure);
@@ -961,7 +964,9 @@
         for (seq, i, doubt, late) in lag {
             if doubt {
                 self.job(seq).tries[i].doubted = true;
-                self.weigh(self.jobs[&seq].tries[i].engine, true, "silent with work out", out);
+                let e = self.jobs[&seq].tries[i].engine;
+                self.zones.of(&self.engines[e]).tell(e, false);
+                self.weigh(e, true, "silent with work out", out);
             }
             let Some(lost) = late else { continue };
             let job = &self.jobs[&seq];
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -5,6 +5,7 @@
 const EJECT_SHARE: f64 = 0.5; // share of the fleet that may be out for anything but lost connections
 const DOUBT_FULL: f64 = 2.0; // log odds; ejects: one bad sign where few come; trust is saved up no further
 const RESETS: u32 = 3; // broken connections in a row, none served between, before they are a bad sign
+const ZONE_LOST: usize = 2; // engines of a zone lost, and nothing heard from it since: then it is lost
 const SICK_MS: f64 = 10_000.0; // ms; half-life of the fleet's share of bad signs
 const SICK_LEAST: f64 = 0.02; // share of bad signs that any fleet has: bad plans, wrong estimates
 
@@ -17,6 +18,7 @@
         work_ms: f64,
         out: &mut Vec<Action>,
     ) {
+        self.zones.of(&self.engines[e]).tell(e, outcome != Outcome::ConnectFailed);
         let (now, engine) = (self.now, &mut self.engines[e]);
         match outcome {
             Outcome::Served => {
@@ -28,7 +30,7 @@
             }
             Outcome::Full => self.met_line(e, work_ms),
             Outcome::ConnectFailed => {
-                (engine.lost_in_row, engine.lost_at) = (engine.lost_in_row + 1, Some(now));
+                engine.lost_in_row += 1;
                 engine.started = Some(now); // What takes no connection starts anew, and cold.
                 self.weigh(e, true, "connections fail", out);
                 (self.engines[e].lost_in_row >= 2).then(|| self.eject(e, "connections fail", true, out));
@@ -42,6 +44,13 @@
         }
     }
 
+    /// A zone goes with all its engines. Who sees little of each would learn it from one after the other, a
+    /// request each: two lost with no word from the zone speak for all, while another zone is not lost.
+    pub(super) fn zone_lost(&self, e: usize) -> bool {
+        let lost = |e: &Engine| self.zones.lost(&e.member.zone) >= ZONE_LOST;
+        lost(&self.engines[e]) && self.engines.iter().any(|o| o.listed && !lost(o))
+    }
+
     /// An error may be the request's fault as well as the engine's: it counts against an engine once another
     /// has served the same request. Covers clients that ask for what none can run; an engine whose errors
     /// meet only what is never repeated stays in use: they say nothing more than a client's own.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What the gateway keeps in mind of engines, requests and classes, and plain arithmetic. It decides nothing.
 
 use crate::api::*;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 /// Length of the model's feature vector.
@@ -45,7 +45,6 @@
     pub weighed: Micros,
     pub lost_in_row: u32,
     pub resets_in_row: u32,
-    pub lost_at: Option<Micros>,
     pub health: Health,
     pub strikes: u32,
     pub report: LoadReport,
@@ -150,6 +149,56 @@
     }
 }
 
+/// What says that a zone is lost with all its engines.
+#[derive(Default)]
+pub struct ZoneDoubt {
+    /// Engines lost since anything was heard from the zone.
+    lost: BTreeSet<usize>,
+    trials: u32,
+    next_trial: Micros,
+}
+
+impl ZoneDoubt {
+    /// Something came from one of its engines; or that took no connection, or missed a note that was due.
+    pub fn tell(&mut self, e: usize, alive: bool) {
+        if alive {
+            (self.trials, self.next_trial) = (0, Micros(0));
+            self.lost.clear();
+        } else {
+            self.lost.insert(e);
+        }
+    }
+    /// A trial goes out: the next after a rest that doubles from `first` to `longest`.
+    pub fn try_again(&mut self, now: Micros, first: Micros, longest: Micros) {
+        self.next_trial = now.plus(Micros(first.0 << self.trials.min(8)).min(longest));
+        self.trials += 1;
+    }
+}
+
+/// The zones' doubts.
+#[derive(Default)]
+pub struct Zones(BTreeMap<String, ZoneDoubt>);
+
+impl Zones {
+    pub fn of(&mut self, engine: &Engine) -> &mut ZoneDoubt {
+        self.named(&engine.member.zone)
+    }
+    pub fn named(&mut self, zone: &str) -> &mut ZoneDoubt {
+        if !self.0.contains_key(zone) {
+            self.0.insert(zone.to_owned(), ZoneDoubt::default());
+        }
+        self.0.get_mut(zone).expect("just put there")
+    }
+    /// How many engines of a zone are lost, with nothing heard from it since.
+    pub fn lost(&self, zone: &str) -> usize {
+        self.0.get(zone).map_or(0, |doubt| doubt.lost.len())
+    }
+    /// Whether the next trial of a zone is due.
+    pub fn due(&self, zone: &str, now: Micros) -> bool {
+        self.0.get(zone).is_none_or(|doubt| now >= doubt.next_trial)
+    }
+}
+
 pub struct Try {
     pub engine: usize,
     pub sent: Micros,
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -133,36 +133,6 @@
     }
 }
 
-#[test]
-fn while_engines_are_lost_heavy_work_goes_where_an_answer_came_lately() {
-    // h41a987: a pod restarted unlisted; all that the others could not take pushed its cold engines over.
-    let mut b = Bench::new(of(300), fleet(12));
-    b.pass(5000);
-    let (mut heard, mut lost) = (BTreeSet::new(), BTreeSet::new());
-    for i in 0..30 {
-        let id = format!("l{i}");
-        let to = sent(&b.arrive(request(&id, 0, i, 4000)))[0].clone();
-        let fails = !heard.contains(&to) && lost.len() < 2;
-        let outcome = if fails { Outcome::ConnectFailed } else { Outcome::Served };
-        (if fails { &mut lost } else { &mut heard }).insert(to.clone());
-        let again = sent(&b.close(&id, 0, &to, outcome, 5));
-        if let Some(next) = again.first() {
-            heard.insert(next.clone());
-            b.close(&id, 1, next, Outcome::Served, 5);
-        }
-        b.pass(5);
-        if heard.len() >= 4 && lost.len() == 2 {
-            break;
-        }
-    }
-    assert!(lost.len() == 2 && heard.len() < 9, "{lost:?} {heard:?}");
-    let mut used = BTreeSet::new();
-    for i in 0..12 {
-        used.extend(sent(&b.arrive(request(&format!("h{i}"), 1, 100 + i, 20_000))));
-    }
-    assert!(!used.is_empty() && used.is_subset(&heard), "{used:?} beyond {heard:?}");
-}
-
 /// Light queries answered within their time, so that a gateway knows what is usual.
 fn warm_up(b: &mut Bench, n: u64) {
     for i in 0..n {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -345,3 +345,48 @@
     let after = b.gateway.admitted_share();
     assert!(after > 0.3, "{after} six seconds after the last sign");
 }
+
+#[test]
+fn two_engines_lost_with_no_word_from_their_zone_speak_for_all_of_it() {
+    // A zone of 15 engines went; each of 100 gateways learnt of each engine by failed dials, a quarter second each.
+    let zones = || {
+        let zone =
+            |i: usize, m: Member| Member { zone: if i.is_multiple_of(2) { "a" } else { "b" }.into(), ..m };
+        fleet(30).into_iter().enumerate().map(|(i, m)| zone(i, m)).collect::<Vec<_>>()
+    };
+    let of_a: BTreeSet<EngineId> = zones().into_iter().filter(|m| m.zone == "a").map(|m| m.engine).collect();
+    let play = |lost: &BTreeSet<EngineId>| {
+        let mut b = Bench::new(Settings { second_copies: false, ..of(100) }, zones());
+        let (mut failed, mut to_a) = (0, 0);
+        for i in 0..200 {
+            let id = format!("q{i}");
+            let mut to = sent(&b.arrive(request(&id, 0, i, 4000)));
+            for attempt in 0.. {
+                let Some(at) = to.first().cloned() else { break };
+                to_a += usize::from(of_a.contains(&at));
+                b.pass(20);
+                let fails = lost.contains(&at);
+                failed += usize::from(fails);
+                let outcome = if fails { Outcome::ConnectFailed } else { Outcome::Served };
+                to = sent(&b.close(&id, attempt, &at, outcome, 20));
+            }
+        }
+        (failed, to_a)
+    };
+    let (failed, _) = play(&of_a);
+    assert!((2..=8).contains(&failed), "{failed} dials that failed until the zone was left alone");
+    let one: BTreeSet<EngineId> = of_a.iter().take(1).cloned().collect();
+    let (_, to_a) = play(&one);
+    assert!(to_a >= 60, "{to_a} of 200 to a zone that lost one engine in fifteen");
+}
+
+#[test]
+fn grants_by_threads_leave_light_queries_room_beside_them() {
+    // Every gateway's heavy queries filled the memory to its last hundredth; a quarter of light ones met a line.
+    let mut b = Bench::new(of(100), fleet(1));
+    let grant = |a: &Action| if let Action::Terms { memory_mb, .. } = a { Some(*memory_mb) } else { None };
+    let heavy = Request { memory_hint_mb: Some(200.0), ..request("h", 1, 1, 20_000) };
+    let grant = b.arrive(heavy).iter().find_map(grant).expect("terms before a send") as f64;
+    let (memory, threads) = (16_384.0, 1.8 * 8.0);
+    assert!(grant * threads / 4.0 <= 0.9 * memory, "{grant} MB for four threads of {threads}");
+}
