--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,6 +37,7 @@
 const PLAN_QUERIES: f64 = 10.0; // queries (or pairs of them) that this and the usual share are worth
 const PLAN_MS: f64 = 20_000.0; // ms; half-life of the counts of table groups
 const KNOWN: f64 = 4.0; // recent answers that make an engine's own stretch count half
+const FAR: f64 = 4.0; // times as far to an engine of another zone, as long as others of its group's take more
 const RECENT_MS: f64 = 3000.0; // ms; half-life of what is known of one engine
 const BOUND_START: f64 = 1.8; // threads a core, all gateways; over 1, as some wait for disks
 const BOUND_CAREFUL: f64 = 1.0; // threads a core at first where more is let in than memory holds
@@ -416,9 +417,8 @@
             shown.survey(listed, kept, n, by_stretch);
         }
         let over = self.crowd.share(self.now, CROWD_MS, PRIOR_ATTEMPTS) - CROWD_AIM;
-        let step = CROWD_PACE * over * past.as_millis().min(1000.0) / 1000.0;
-        let of = if step > 0.0 { self.admitted } else { 1.0 };
-        self.admitted = (self.admitted - step * of).clamp(ADMIT_LEAST, 1.0);
+        let step = over * if over > 0.0 { self.admitted } else { 1.0 } * past.as_millis().min(1000.0) * 1e-3;
+        self.admitted = (self.admitted - CROWD_PACE * step).clamp(ADMIT_LEAST, 1.0);
         let listed = self.engines.iter().filter(|e| e.listed);
         self.best = listed.map(|e| e.stretch).fold(f64::INFINITY, f64::min).clamp(0.7, 1.3);
     }
@@ -464,7 +464,8 @@
         let read = |i: usize| waiting.clone().any(|(plan, _)| plan.part(tables, i).is_some());
         let parts = self.plans.get(job.request.class.0).and_then(|plan| plan.parts.get(&tables));
         let part = |i: usize| parts?.iter().find(|(e, _)| *e == i).map(|(_, part)| *part);
-        let by_request = |e: &Engine| rendezvous(e.hash, job.hash);
+        let near = |e: &Engine| self.settings.zone.as_ref().is_none_or(|zone| *zone == e.member.zone);
+        let by_request = |e: &Engine| rendezvous(e.hash, job.hash) * if near(e) { 1.0 } else { FAR };
         type Placed = (bool, bool, f64, usize);
         let nearer = |a: &Placed, b: &Placed| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2));
         let open = self.engines.iter().enumerate().filter(|(_, e)| e.listed && open_to(class, &e.member));
@@ -658,28 +659,28 @@
         rule.start_share + (1.0 - rule.start_share) * warm.min(1.0).powi(2)
     }
 
-    /// Own part of what a cold engine bears. Light work: a ration, less room for chance, by time from a time
-    /// that differs by gateway where it is under one query. Heavy work, of which the part is far under that:
-    /// by turns that go round all gateways, a query each, so that what they send together is even.
+    /// Own part of what a cold engine bears. Light work: a ration, less room for chance, from a moment that
+    /// differs by gateway where it is under one query. Heavy work, of which the part is far under that: by
+    /// turns that go round all gateways, a query each, so that what they send together is even.
     fn cold_allows(&self, engine: &Engine, work_ms: f64) -> bool {
         let (Some(rule), Some(started)) = (self.settings.cold, engine.started) else { return true };
-        let (n, share, born) = (self.gateways(), self.warmth(engine), self.born.unwrap_or_default());
+        let born = self.born.unwrap_or_default();
+        let (n, able) = (self.gateways(), self.warmth(engine) * engine.cores * FULL_RATE);
         let start = mix(engine.hash ^ mix(u64::from(self.settings.me))) as f64 / u64::MAX as f64;
         let ease = 1.0 + COLD_EASE * start * (1.0 - 1.0 / n);
         if self.now.since(started).as_millis() >= rule.warm_within.as_millis() * ease {
             return true; // Not at all gateways at once: what waits at each would come together.
         }
-        let (able, span) = (share * engine.cores * FULL_RATE, rule.fall_span.as_millis());
         let heaviest = self.learned.iter().map(|l| l.work_ms).fold(work_ms, f64::max);
-        let turn = turn_ms(heaviest / (COLD_PACE * able), span);
+        let turn = turn_ms(heaviest / (COLD_PACE * able), rule.fall_span.as_millis());
         if n > 1.0 && 2.0 * work_ms > heaviest && turn >= BEAT.as_millis() {
             let (no, since) = ((self.now.as_millis() / turn) as u64, self.now.as_millis() % turn);
             let sent = |(t, w): &(Micros, f64)| 2.0 * w > heaviest && self.now.since(*t).as_millis() <= since;
-            return (no + engine.hash) % n as u64 == u64::from(self.settings.me)
+            return no.wrapping_add(engine.hash) % n as u64 == u64::from(self.settings.me)
                 && !engine.cold_sent.iter().any(sent);
         }
-        let bears = COLD_MARGIN * rule.fall_multiple * able;
-        let mean = mean_within(bears * span, work_ms * (1.0 - 1.0 / n), CHANCE);
+        let bears = COLD_MARGIN * rule.fall_multiple * able * rule.fall_span.as_millis();
+        let mean = mean_within(bears, work_ms * (1.0 - 1.0 / n), CHANCE);
         let longer = (work_ms * n / mean).max(1.0);
         let span = Micros((rule.fall_span.0 as f64 * longer) as u64);
         let recent = engine.cold_sent.iter().filter(|(t, _)| self.now.since(*t) <= span).map(|(_, w)| w);
@@ -870,6 +871,10 @@
         if note == Note::WaitsForMemory {
             self.met_line(e, self.jobs[&seq].work_ms);
             let (job, threads) = (&self.jobs[&seq], self.threads(&self.jobs[&seq]));
+            // Too late to be in time, it keeps its place from one that could be; no work is lost with it.
+            if !self.in_time(job) && !job.over && self.class(job).repeat == Repeat::Safe {
+                return self.give_up(seq, out);
+            }
             let free = |o: usize| self.engines[o].health == Health::Well && !self.past_bound(o, threads);
             let better = || self.ranked(job).into_iter().any(|o| !job.tried(o) && free(o));
             if job.tries.len() < MOVES && better() {
@@ -940,8 +945,7 @@
     fn overdue(&mut self, out: &mut Vec<Action>) {
         let done: Vec<u64> = self.held.iter().copied().filter(|seq| self.too_late(&self.jobs[seq])).collect();
         done.into_iter().for_each(|seq| self.give_up(seq, out));
-        let notes = self.settings.notes_every.map(|n| n.as_millis() * SILENCE_NOTES + 100.0);
-        let sure = notes.unwrap_or(f64::INFINITY);
+        let sure = self.settings.notes_every.map_or(f64::INFINITY, |n| n.as_millis() * SILENCE_NOTES + 100.0);
         let mut lag: Vec<(u64, usize, bool, Option<bool>)> = Vec::new();
         for (&seq, job) in self.jobs.iter().filter(|_| self.lagged < self.now) {
             for (i, t) in job.tries.iter().enumerate().filter(|(_, t)| t.end.is_none()) {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -390,3 +390,36 @@
     let (memory, threads) = (16_384.0, 1.8 * 8.0);
     assert!(grant * threads / 4.0 <= 0.9 * memory, "{grant} MB for four threads of {threads}");
 }
+
+#[test]
+fn who_stands_in_a_line_past_its_time_is_refused_at_once_unless_it_is_unsafe() {
+    for (repeat, answers) in [(Repeat::Safe, 1), (Repeat::Unsafe, 0)] {
+        let mut s = of(100);
+        (s.classes[1].repeat, s.second_copies) = (repeat, false);
+        let mut b = Bench::new(s, fleet(1));
+        let at = sent(&b.arrive(request("h", 1, 1, 20_000)))[0].clone();
+        let mut all = Vec::new();
+        for _ in 0..12 {
+            all.extend(b.note("h", 0, &at, Note::WaitsForMemory)); // In time while it could start: 3 s and its run.
+            all.extend(b.pass(500));
+        }
+        assert_eq!((refused(&all), common::failed(&all)), (answers, 0), "{repeat:?}");
+    }
+}
+
+#[test]
+fn of_the_engines_planned_for_a_group_those_of_the_own_zone_come_first() {
+    let zone = |i: usize| if i.is_multiple_of(2) { "a" } else { "b" };
+    let members =
+        || fleet(12).into_iter().enumerate().map(|(i, m)| Member { zone: zone(i).into(), ..m }).collect();
+    let near: BTreeSet<EngineId> = (0..12).step_by(2).map(|i| engine(&format!("10.0.0.{i}:70"))).collect();
+    let mut own = 0;
+    for me in 0..100 {
+        let mut b = Bench::new(Settings { me, zone: Some("a".into()), ..of(100) }, members());
+        own += sent(&b.arrive(request(&format!("l{me}"), 0, u64::from(me), 4000)))
+            .iter()
+            .filter(|e| near.contains(e))
+            .count();
+    }
+    assert!(own >= 62, "{own} of 100 stayed in their zone");
+}
