Take no time-out or reset for life in a lost zone; drop the unused probe action

Seen on reading the change again: `judge` (src/decide/health.rs) told the zone's doubt that its engine was alive at every end but a failed dial. An attempt that ends by its own time, or a broken connection, may be of a machine that says nothing; each cleared the doubt.

--- a/src/api.rs
+++ b/src/api.rs
@@ -240,8 +240,6 @@
     pub second_copies: bool,
     /// Whether [`Action::Cancel`] is allowed.
     pub cancel: bool,
-    /// Whether [`Action::Probe`] is allowed.
-    pub probes: bool,
     /// Whether [`Action::Tell`] is allowed.
     pub peers: bool,
     /// The longest [`Action::Refuse`] advice that clients heed; `None` where none is given.
@@ -284,7 +282,6 @@
             send_cap: None,
             second_copies: false,
             cancel: false,
-            probes: false,
             peers: false,
             retry_after: None,
             budget: None,
@@ -642,8 +639,6 @@
         /// Priority from 0 to 3.
         priority: u8,
     },
-    /// Check an engine.
-    Probe(EngineId),
     /// Give idle connections back.
     CloseIdle(EngineId),
     /// Send a message to another gateway, or to all.
--- a/src/bin/beamgap-simhost/wire.rs
+++ b/src/bin/beamgap-simhost/wire.rs
@@ -255,7 +255,6 @@
         Action::Terms { request, memory_mb, priority } => {
             writeln!(out, "set_terms {inst} {} {memory_mb} {priority}", request.0)
         }
-        Action::Probe(engine) => writeln!(out, "sample {inst} {}", engine.0),
         Action::CloseIdle(engine) => writeln!(out, "free_links {inst} {}", engine.0),
         Action::Tell { to, data } => {
             let to = to.map_or("*".to_owned(), |to| to.to_string());
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -18,7 +18,7 @@
         work_ms: f64,
         out: &mut Vec<Action>,
     ) {
-        self.zones.of(&self.engines[e]).tell(e, outcome != Outcome::ConnectFailed);
+        self.zones.of(&self.engines[e]).end(e, outcome);
         let (now, engine) = (self.now, &mut self.engines[e]);
         match outcome {
             Outcome::Served => {
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -519,8 +519,8 @@
                 self.logs.push(text);
                 None
             }
-            // Probes and talk between front ends are not allowed, and the list comes by itself.
-            Action::Probe(_) | Action::Tell { .. } | Action::Subscribe(_) | Action::FetchList => None,
+            // Talk between front ends is not allowed, and the list comes by itself.
+            Action::Tell { .. } | Action::Subscribe(_) | Action::FetchList => None,
         }
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -150,7 +150,6 @@
     s.send_cap = p.number("Limits.SendCap")?.map(|cap| cap as u32);
     s.second_copies = p.flag("Limits.SecondCopies")?.unwrap_or(false);
     s.cancel = p.flag("Limits.Cancel")?.unwrap_or(false);
-    s.probes = p.flag("Limits.Probes")?.unwrap_or(false);
     s.peers = p.flag("Limits.PeerMessages")?.unwrap_or(false);
     if p.flag("Limits.RetryAfter")?.unwrap_or(false) {
         s.retry_after = p.time("Limits.MaxRetryAfter")?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -168,6 +168,12 @@
             self.lost.insert(e);
         }
     }
+    /// An attempt ended there. Time-outs, resets and cancels may be of a machine that says nothing: no sign.
+    pub fn end(&mut self, e: usize, outcome: Outcome) {
+        if !outcome.end_unsure() && outcome != Outcome::Moot {
+            self.tell(e, outcome != Outcome::ConnectFailed);
+        }
+    }
     /// A trial goes out: the next after a rest that doubles from `first` to `longest`.
     pub fn try_again(&mut self, now: Micros, first: Micros, longest: Micros) {
         self.next_trial = now.plus(Micros(first.0 << self.trials.min(8)).min(longest));
@@ -443,9 +449,11 @@
             };
             let (all, one) = (own(self.out, self.threads, cores), cores / count / 2.0);
             let blend = (all * one + told) / (one + known);
-            self.spread = if least { blend.max(all) } else { blend }; // Busy cores tell the least that runs.
-                                                                      // Reports come with answers, so that of many gateways each hears most from engines with little to do:
-                                                                      // these say nothing of the others. What it has out there does, and is one part in `gateways` of all.
+            // Busy cores tell the least that runs.
+            self.spread = if least { blend.max(all) } else { blend };
+
+            // Reports come with answers, so that of many gateways each hears most from engines with little to do:
+            // these say nothing of the others. What it has out there does, and is one part in `gateways` of all.
             let before = self.unheard.iter_mut().zip(unheard);
             before.for_each(|(sum, part)| *sum = kept * *sum + (1.0 - kept) * part);
             let [out, threads, cores] = self.unheard;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -423,3 +423,37 @@
     }
     assert!(own >= 62, "{own} of 100 stayed in their zone");
 }
+
+#[test]
+fn a_time_out_from_a_lost_zone_is_no_word_from_it() {
+    // What ends by its own time says nothing of its engine; taken for life, it kept the zone's doubt from forming.
+    let zone = |i: usize, m: Member| Member { zone: if i < 6 { "a" } else { "b" }.into(), ..m };
+    let members = fleet(12).into_iter().enumerate().map(|(i, m)| zone(i, m)).collect();
+    let mut b = Bench::new(Settings { second_copies: false, ..of(100) }, members);
+    let in_a = |e: &EngineId| (0..6).any(|i| *e == engine(&format!("10.0.0.{i}:70")));
+    let (mut lost, mut silent) = (BTreeSet::new(), 0);
+    for i in 0..400 {
+        let id = format!("q{i}");
+        let Some(at) = sent(&b.arrive(request(&id, 0, i, 4000))).first().cloned() else { continue };
+        if !in_a(&at) {
+            b.close(&id, 0, &at, Outcome::Served, 20);
+        } else if lost.len() < 2 {
+            lost.insert(at.clone());
+            b.close(&id, 0, &at, Outcome::ConnectFailed, 20);
+            b.tell(Event::Abandoned(request(&id, 0, 0, 0).id));
+            // Sent before its zone went, it ends now.
+            if lost.len() == 1 {
+                let late = (0..200).map(|n| format!("t{n}")).find(|id| {
+                    let to = sent(&b.arrive(request(id, 0, 1000 + i, 4000)));
+                    to.first()
+                        .is_some_and(|at| in_a(at) && b.close(id, 0, at, Outcome::TimedOut, 20).len() < 9)
+                });
+                assert!(late.is_some());
+            }
+        } else {
+            silent += 1;
+            b.close(&id, 0, &at, Outcome::TimedOut, 20);
+        }
+    }
+    assert!(lost.len() == 2 && silent <= 3, "{silent} more requests to a zone that is lost");
+}
