--- a/src/node/bulletin.rs
+++ b/src/node/bulletin.rs
@@ -1,17 +1,23 @@
 //! The bulletin: numbered events that tell which warehouses there are. Reads its frames, and keeps its
-//! connection: a silent one is dropped, and the next goes on from the last number had.
+//! connection: a silent one is dropped, and the next goes on from the last number had. Tries are drawn apart, as a
+//! whole fleet loses it at once.
 
 use super::clock::to_micros;
 use super::deadlines::{Deadlines, Handle, Wake};
 use super::reactor::{Link, Owner, ReadEnd};
+use crate::state::mix;
 use crate::{EngineId, ListKind, Member, MemberState};
 use mio::Registry;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 const SILENT_MS: f64 = 2300.0; // an empty frame comes each second; two missed are a dead connection
-const AGAIN_MS: f64 = 200.0; // between two tries to connect: news is owed within seconds
-const LOOK_MS: f64 = 500.0; // between looks at a connection that stands
+const AGAIN_MS: f64 = 200.0; // between two tries to connect, at first: news is owed within seconds
+const AGAIN_MOST: f64 = 800.0; // and as they go on failing: a fleet's tries cost the bulletin, one's delay costs little
+const AGAIN_GROWS: f64 = 1.5; // times longer after each that failed
+const MOVED_MS: f64 = 150.0; // over which a fleet that is told at once of a new address comes there
+const LOOK_MS: f64 = 400.0; // between looks at a connection that stands
+const SPREAD: f64 = 0.5; // of each of these pauses, up and down by lot: what starts together does not dial together
 const RECORD: usize = 27;
 const FRAME_MOST: usize = 4 << 20; // 150,000 warehouses; a longer frame is a lost framing
 
@@ -108,13 +114,23 @@
     generation: u32,
     heard: f64,
     next_look: Option<Handle>,
+    /// Tries to connect since one last succeeded.
+    failed: i32,
+    random: u64,
 }
 
 impl Bulletin {
-    /// A bulletin not yet connected to; `last` is the number of the last event had.
-    pub fn new(address: SocketAddr, zones: Vec<String>, kinds: Vec<String>, last: u64) -> Bulletin {
+    /// A bulletin not yet connected to; `last` is the number of the last event had, `seed` feeds the pauses' draws.
+    pub fn new(
+        address: SocketAddr,
+        zones: Vec<String>,
+        kinds: Vec<String>,
+        last: u64,
+        seed: u64,
+    ) -> Bulletin {
         let (link, greeted, generation, heard, next_look) = (None, false, 0, 0.0, None);
-        Bulletin { address, zones, kinds, last, link, greeted, generation, heard, next_look }
+        let (failed, random) = (0, seed);
+        Bulletin { address, zones, kinds, last, link, greeted, generation, heard, next_look, failed, random }
     }
 
     /// Connects where there is no connection, drops one that has fallen silent, and comes back.
@@ -128,8 +144,18 @@
             self.link = Link::dial(self.address)
                 .and_then(|mut link| link.watch(registry, Owner::Bulletin(self.generation)).map(|()| link))
                 .ok();
+            self.failed = (self.failed + 1).min(16);
         }
-        self.look_in(now, if self.greeted { LOOK_MS } else { AGAIN_MS }, deadlines);
+        let again = (AGAIN_MS * AGAIN_GROWS.powi(self.failed - 1)).min(AGAIN_MOST);
+        let pause = if self.greeted { LOOK_MS } else { again };
+        let lot = 1.0 - SPREAD + 2.0 * SPREAD * self.lot();
+        self.look_in(now, pause * lot, deadlines);
+    }
+
+    /// A draw from 0 to 1.
+    fn lot(&mut self) -> f64 {
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.random) as f64 / u64::MAX as f64
     }
 
     /// Sets the one look to come: a second chain of looks would drop what the first has just dialled.
@@ -148,8 +174,9 @@
         deadlines: &mut Deadlines,
     ) -> Vec<News> {
         if address != self.address {
-            (self.address, self.link) = (address, None);
-            self.look_in(now, 0.0, deadlines);
+            (self.address, self.link, self.failed) = (address, None, 0);
+            let spread = MOVED_MS * self.lot();
+            self.look_in(now, spread, deadlines);
         }
         known.into_iter().filter_map(|news| self.take(news)).collect()
     }
@@ -179,7 +206,7 @@
                 Some(up) => up.ok()?,
             }
             link.put(&self.last.to_be_bytes());
-            (self.greeted, self.heard) = (true, now);
+            (self.greeted, self.heard, self.failed) = (true, now, 0);
         }
         link.flush().ok()?;
         let mut taken = Vec::new();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -111,10 +111,12 @@
                 MysqlBoxes::new(mysql.clone(), config.dial_ms, config.idle_ms, backend_sockets, out_most);
             (MysqlFront::new(mysql, &config.settings, out_most), boxes)
         });
+        // Where no seed is given, front ends still differ by their number.
+        let lots = config.seed ^ u64::from(config.settings.me).rotate_left(32);
         let exchange = Exchange::new(config.settings, config.seed, config.open_most, out_most)
             .map_err(io::Error::other)?;
         let bulletin =
-            config.bulletin.map(|address| Bulletin::new(address, config.zones, kinds, config.last));
+            config.bulletin.map(|address| Bulletin::new(address, config.zones, kinds, config.last, lots));
         let xds = config.xds.map(Feed::start).transpose()?;
         let mut node = Node {
             clock,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -53,8 +53,12 @@
 
 impl Bench {
     pub fn new(settings: Settings, members: Vec<Member>) -> Bench {
-        let gateway = Gateway::new(settings, 11).expect("good settings");
-        let mut bench = Bench { gateway, now: ms(1000), timers: Vec::new() };
+        Bench::born(settings, 11, ms(1000), members)
+    }
+    /// A gateway that comes up at a time of its own, with the list as it stands then.
+    pub fn born(settings: Settings, seed: u64, now: Micros, members: Vec<Member>) -> Bench {
+        let gateway = Gateway::new(settings, seed).expect("good settings");
+        let mut bench = Bench { gateway, now, timers: Vec::new() };
         bench.tell(list(ListKind::Cached, members));
         bench
     }
