--- a/crates/policy/src/switch/hold.rs
+++ b/crates/policy/src/switch/hold.rs
@@ -28,7 +28,7 @@
 }
 
 /// A front end's part.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Hold {
     member: String,
     life: u64,
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -59,8 +59,8 @@
         }
     }
 
-    /// Starts it, and waits until it listens.
-    pub fn start(&mut self) -> Result<(), String> {
+    /// Starts it, and waits until it has said where it listens; for other members too if it decides.
+    pub fn start(&mut self, decides: bool) -> Result<(), String> {
         let mut child = Command::new(&self.binary)
             .args(["run", "--operator"])
             .arg(&self.operator)
@@ -96,7 +96,8 @@
         });
         self.child = Some(child);
         let until = Instant::now() + Duration::from_secs(20);
-        while lock(&self.said).health.is_none() {
+        let listens = |said: &Said| said.health.is_some() && (said.fleet.is_some() || !decides);
+        while !listens(&lock(&self.said)) {
             if Instant::now() > until || self.child.as_mut().is_none_or(|c| !matches!(c.try_wait(), Ok(None)))
             {
                 return Err(format!("{} did not start: {:?}", self.name, lock(&self.said).log));
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -205,7 +205,7 @@
 
     /// Starts a member's process, and has links and its client lead there.
     pub fn begin(&mut self, me: usize) -> Result<(), String> {
-        self.members[me].start()?;
+        self.members[me].start(me < SEATS)?;
         let (front, fleet) = {
             let said = self.members[me].said();
             (said.front, said.fleet)
