--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -54,6 +54,7 @@
     store: Option<SharedStore>,
     raft: Option<Raft>,
     elector: Option<Elector>,
+    founding: Option<u64>,
     disk: String,
 }
 
@@ -90,12 +91,16 @@
             runtime.block_on(async move {
                 if let Some(listener) = listener {
                     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
-                    let (fleet, traffic, here) = (of.settings.fleet.clone(), of.traffic.clone(), of.clone());
+                    let (traffic, here, greeted) = (of.traffic.clone(), of.clone(), of.clone());
+                    let stranger = move |hello: &Hello| {
+                        let founding = lock(&greeted.now).founding;
+                        hello.stranger(&greeted.settings.fleet, founding)
+                    };
                     let answer = move |question| {
                         let here = here.clone();
                         async move { here.answer(question).await }
                     };
-                    tokio::spawn(server::serve(listener, fleet, traffic, answer));
+                    tokio::spawn(server::serve(listener, stranger, traffic, answer));
                     tokio::spawn(of.clone().batches(waiting));
                     tokio::spawn(of.clone().decide(disk));
                 }
@@ -213,6 +218,11 @@
         lock(&self.now).raft.clone()
     }
 
+    /// This decider's part, if it goes by this id.
+    fn raft_as(&self, id: u64) -> Option<Raft> {
+        self.raft().filter(|raft| raft.metrics().borrow().id == id)
+    }
+
     fn link(&self, seat: Seat) -> Option<Link> {
         let hello = Hello::new(&self.settings.fleet, &self.settings.member);
         Some(Link::new(*self.book.get(&seat)?, hello, self.traffic.clone()))
@@ -282,7 +292,9 @@
             ..openraft::Config::default()
         };
         let config = Arc::new(config.validate().map_err(|e| e.to_string())?);
-        let hello = Hello::new(&settings.fleet, &settings.member);
+        lock(&self.now).founding = Some(marker.founding);
+        let mut hello = Hello::new(&settings.fleet, &settings.member);
+        hello.founding = Some(marker.founding);
         let links = Links { hello, traffic: self.traffic.clone(), book: self.book.clone() };
         let applied = Applied::open(store.clone(), self.machine.clone())?;
         let raft = Raft::new(marker.id, config, links, Log(store.clone()), applied).await;
@@ -416,11 +428,10 @@
 
     async fn answer(&self, question: Question) -> Answer {
         let no = |e: &dyn std::fmt::Display| Answer::No(e.to_string());
-        let blank =
-            || Answer::No("its folder is blank or broken: it neither votes nor keeps a log".to_owned());
+        let blank = || Answer::No("its folder is blank or broken, or it lost what this id knew".to_owned());
         match question {
-            Question::Append(rpc) => {
-                let Some(raft) = self.raft() else { return blank() };
+            Question::Append(to, rpc) => {
+                let Some(raft) = self.raft_as(to) else { return blank() };
                 match raft.append_entries(rpc).await {
                     Ok(answer) => {
                         if !matches!(answer, openraft::raft::AppendEntriesResponse::HigherVote(_)) {
@@ -432,11 +443,11 @@
                     Err(e) => no(&e),
                 }
             }
-            Question::Vote(rpc) => match self.raft() {
+            Question::Vote(to, rpc) => match self.raft_as(to) {
                 None => blank(),
                 Some(raft) => raft.vote(rpc).await.map_or_else(|e| no(&e), Answer::Vote),
             },
-            Question::Snapshot(rpc) => match self.raft() {
+            Question::Snapshot(to, rpc) => match self.raft_as(to) {
                 None => blank(),
                 Some(raft) => raft.install_snapshot(rpc).await.map_or_else(|e| no(&e), Answer::Snapshot),
             },
--- a/crates/council/src/link/mod.rs
+++ b/crates/council/src/link/mod.rs
@@ -70,16 +70,19 @@
     pub fleet: String,
     /// Who speaks.
     pub member: String,
+    /// The founding that a decider belongs to: two fleets of one name must not mix their logs.
+    pub founding: Option<u64>,
 }
 
 impl Hello {
     /// A greeting in this program's form.
     pub fn new(fleet: &str, member: &str) -> Hello {
-        Hello { magic: MAGIC, form: FORM, fleet: fleet.to_owned(), member: member.to_owned() }
+        let (fleet, member) = (fleet.to_owned(), member.to_owned());
+        Hello { magic: MAGIC, form: FORM, fleet, member, founding: None }
     }
 
     /// Why whoever says this is turned away, if so.
-    pub fn stranger(&self, fleet: &str) -> Option<String> {
+    pub fn stranger(&self, fleet: &str, founding: Option<u64>) -> Option<String> {
         if self.magic != MAGIC {
             return Some("does not speak between members of a fleet".to_owned());
         }
@@ -89,19 +92,23 @@
                 self.form
             ));
         }
-        (self.fleet != fleet).then(|| format!("is of fleet {}, this member of {fleet}", self.fleet))
+        if self.fleet != fleet {
+            return Some(format!("is of fleet {}, this member of {fleet}", self.fleet));
+        }
+        let other = matches!((self.founding, founding), (Some(a), Some(b)) if a != b);
+        other.then(|| format!("is of another fleet that has the name {fleet} too"))
     }
 }
 
 /// What a member asks another.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum Question {
-    /// Of consensus.
-    Append(AppendEntriesRequest<Types>),
-    /// Of consensus.
-    Vote(VoteRequest<u64>),
-    /// Of consensus.
-    Snapshot(InstallSnapshotRequest<Types>),
+    /// Of consensus, to the decider of this id: whoever sits in its seat under another one must not answer for it.
+    Append(u64, AppendEntriesRequest<Types>),
+    /// Likewise.
+    Vote(u64, VoteRequest<u64>),
+    /// Likewise.
+    Snapshot(u64, InstallSnapshotRequest<Types>),
     /// Whether a leader is heard, from one whose log ends at this term and index.
     Word {
         /// The term of its last entry.
--- a/crates/council/src/link/server.rs
+++ b/crates/council/src/link/server.rs
@@ -15,8 +15,9 @@
 const IDLE: Duration = Duration::from_secs(60); // without a question, a connection is let go
 
 /// Accepts connections and answers on them, for ever.
-pub async fn serve<F, A>(listener: TcpListener, fleet: String, traffic: Arc<Traffic>, answer: F)
+pub async fn serve<S, F, A>(listener: TcpListener, stranger: S, traffic: Arc<Traffic>, answer: F)
 where
+    S: Fn(&Hello) -> Option<String> + Clone + Send + 'static,
     F: Fn(Question) -> A + Clone + Send + 'static,
     A: Future<Output = Answer> + Send,
 {
@@ -28,9 +29,9 @@
             continue;
         };
         let Ok(place) = room.clone().try_acquire_owned() else { continue };
-        let (fleet, traffic, answer) = (fleet.clone(), traffic.clone(), answer.clone());
+        let (stranger, traffic, answer) = (stranger.clone(), traffic.clone(), answer.clone());
         tokio::spawn(async move {
-            if let Err(e) = converse(stream, &fleet, &traffic, answer).await {
+            if let Err(e) = converse(stream, stranger, &traffic, answer).await {
                 if !matches!(e, LinkError::Io(_)) {
                     tracing::warn!(target: "fleet", "link: from={from} {e}");
                 }
@@ -42,7 +43,7 @@
 
 async fn converse<F, A>(
     mut stream: TcpStream,
-    fleet: &str,
+    stranger: impl Fn(&Hello) -> Option<String>,
     traffic: &Traffic,
     answer: F,
 ) -> Result<(), LinkError>
@@ -53,7 +54,7 @@
     stream.set_nodelay(true)?;
     let hello = timeout(FRAME_TIME, read::<Hello>(&mut stream, HELLO_MOST)).await;
     let (hello, _) = hello.map_err(|_| LinkError::Late)??;
-    let away = hello.stranger(fleet);
+    let away = stranger(&hello);
     write(&mut stream, &away.clone().map_or(Ok(()), Err)).await?;
     if let Some(why) = away {
         return Err(LinkError::Away(format!("{} {why}", hello.member)));
--- a/crates/council/src/raft.rs
+++ b/crates/council/src/raft.rs
@@ -314,7 +314,7 @@
         rpc: AppendEntriesRequest<Types>,
         option: RPCOption,
     ) -> Asked<AppendEntriesResponse<Id>> {
-        match self.ask(Question::Append(rpc), RPCTypes::AppendEntries, &option).await? {
+        match self.ask(Question::Append(self.target, rpc), RPCTypes::AppendEntries, &option).await? {
             Answer::Append(answer) => Ok(answer),
             _ => odd(),
         }
@@ -325,14 +325,14 @@
         rpc: InstallSnapshotRequest<Types>,
         option: RPCOption,
     ) -> Asked<InstallSnapshotResponse<Id>, RaftError<Id, InstallSnapshotError>> {
-        match self.ask(Question::Snapshot(rpc), RPCTypes::InstallSnapshot, &option).await? {
+        match self.ask(Question::Snapshot(self.target, rpc), RPCTypes::InstallSnapshot, &option).await? {
             Answer::Snapshot(answer) => Ok(answer),
             _ => odd(),
         }
     }
 
     async fn vote(&mut self, rpc: VoteRequest<Id>, option: RPCOption) -> Asked<VoteResponse<Id>> {
-        match self.ask(Question::Vote(rpc), RPCTypes::Vote, &option).await? {
+        match self.ask(Question::Vote(self.target, rpc), RPCTypes::Vote, &option).await? {
             Answer::Vote(answer) => Ok(answer),
             _ => odd(),
         }
--- a/crates/rig/src/engine.rs
+++ b/crates/rig/src/engine.rs
@@ -24,18 +24,14 @@
     /// Starts an engine that takes so long for a request.
     pub fn start(number: u32, takes: Duration, history: History) -> std::io::Result<Engine> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
         let (fails, ended) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
         let engine = Engine { id: format!("s-{number:08x}"), address: listener.local_addr()?, fails, ended };
         let of = engine.clone();
         std::thread::spawn(move || {
             while !of.ended.load(Relaxed) {
-                match listener.accept() {
-                    Ok((stream, _)) => {
-                        let (of, history) = (of.clone(), history.clone());
-                        std::thread::spawn(move || of.serve(stream, takes, &history));
-                    }
-                    Err(_) => std::thread::sleep(Duration::from_millis(5)),
+                if let Ok((stream, _)) = listener.accept() {
+                    let (of, history) = (of.clone(), history.clone());
+                    std::thread::spawn(move || of.serve(stream, takes, &history));
                 }
             }
         });
@@ -45,11 +41,11 @@
     /// Ends it.
     pub fn stop(&self) {
         self.ended.store(true, Relaxed);
+        let _ = TcpStream::connect(self.address); // Ends its wait.
     }
 
     /// Reads requests until the connection ends.
     fn serve(&self, stream: TcpStream, takes: Duration, history: &History) -> Option<()> {
-        stream.set_nonblocking(false).ok()?;
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(30))).ok()?;
         let mut write = stream.try_clone().ok()?;
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-const LOOK: Duration = Duration::from_millis(20); // between looks at what the link is to do
+const LOOK: Duration = Duration::from_millis(50); // between looks at what the link is to do
 
 /// What a link does with what is sent one way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,7 +46,6 @@
     pub fn start() -> std::io::Result<Relay> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        listener.set_nonblocking(true)?;
         let shared = Arc::new(Shared {
             target: Mutex::new(None),
             ways: Mutex::new((Way::Open, Way::Open)),
@@ -56,12 +55,9 @@
         let of = shared.clone();
         std::thread::spawn(move || {
             while !of.ended.load(Relaxed) {
-                match listener.accept() {
-                    Ok((stream, _)) => {
-                        let of = of.clone();
-                        std::thread::spawn(move || of.carry(stream));
-                    }
-                    Err(_) => std::thread::sleep(Duration::from_millis(5)),
+                if let Ok((stream, _)) = listener.accept() {
+                    let of = of.clone();
+                    std::thread::spawn(move || of.carry(stream));
                 }
             }
         });
@@ -81,6 +77,7 @@
     /// Ends it, with all that it carries.
     pub fn stop(&self) {
         self.shared.ended.store(true, Relaxed);
+        let _ = TcpStream::connect(self.address); // Ends its wait.
     }
 
     /// Bytes that it has passed on.
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -32,6 +32,8 @@
     pub check: u64,
     /// Each client's pause between requests.
     pub every: Duration,
+    /// A member whose configuration has another name for the second class.
+    pub odd: Option<usize>,
 }
 
 impl Default for Options {
@@ -43,6 +45,7 @@
             right: 1800,
             check: 600,
             every: Duration::from_millis(15),
+            odd: None,
         }
     }
 }
@@ -66,6 +69,8 @@
     pub clients: Vec<Client>,
     /// Its engines.
     pub engines: Vec<Engine>,
+    /// The fleet's name, unlike that of any other world.
+    pub name: String,
     binary: PathBuf,
     folder: PathBuf,
     relays: BTreeMap<(usize, usize), Relay>,
@@ -116,6 +121,7 @@
             history,
             clients: Vec::new(),
             engines,
+            name: name.to_owned(),
             binary: binary.to_owned(),
             folder,
             relays,
@@ -161,7 +167,8 @@
     fn block(&self, me: usize) -> String {
         let Options { switch_bound, right, check, .. } = &self.options;
         let mut text = format!(
-            "fleet {{\n  name = \"rig\"\n  switch_bound = \"{switch_bound} ms\"\n  right = \"{right} ms\"\n  check_time = \"{check} ms\"\n"
+            "fleet {{\n  name = \"{}\"\n  switch_bound = \"{switch_bound} ms\"\n  right = \"{right} ms\"\n  check_time = \"{check} ms\"\n",
+            self.name
         );
         if me < SEATS {
             let folder = self.disk(me);
@@ -192,7 +199,10 @@
         let text = format!(
             r#"{{"name":"{name}","seed":"{me:x}f","listen":"127.0.0.1:0","limits":{{"cores":1,"memory_mb":192,"sockets":1024}},
             "settings":{},"known":{{"no":1,"items":[{{"no":1,"roster":{{"rev":1,"all":true,"targets":[{}]}}}}]}}}}"#,
-            settings(self.options.members, me),
+            settings(self.options.members, me).replace(
+                "delivery-load",
+                if self.options.odd == Some(me) { "delivery" } else { "delivery-load" }
+            ),
             targets.join(",")
         );
         std::fs::write(&config, text)?;
@@ -281,7 +291,8 @@
         note_command(&self.history, &output)
     }
 
-    fn change_later(&mut self, words: &[&str]) {
+    /// Has a change made beside what the test goes on with; [`World::join`] waits for it.
+    pub fn change_later(&mut self, words: &[&str]) {
         let (mut command, history) = (self.command(words), self.history.clone());
         let work = move || {
             if let Ok(output) = command.output() {
@@ -383,6 +394,39 @@
         }
     }
 
+    /// What the fleet's status says, as JSON.
+    pub fn status(&self) -> serde_json::Value {
+        let output = self.operate(&["fleet", "status", "--json"]);
+        serde_json::from_slice(&output.stdout).unwrap_or_default()
+    }
+
+    /// The member that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let status = self.status();
+        let deciders = status["deciders"].as_array()?.clone();
+        let leads = |d: &&serde_json::Value| d["role"] == "leader";
+        // One that was replaced and does not know yet has an older term.
+        let leader = deciders.iter().filter(leads).max_by_key(|d| d["term"].as_u64())?;
+        Some(leader["seat"].as_u64()? as usize - 1)
+    }
+
+    /// Waits until something is so.
+    pub fn wait(
+        &self,
+        what: &str,
+        patience: Duration,
+        mut is: impl FnMut(&World) -> bool,
+    ) -> Result<(), String> {
+        let until = Instant::now() + patience;
+        while !is(self) {
+            if Instant::now() > until {
+                return Err(format!("never came: {what}; {}", self.status()));
+            }
+            std::thread::sleep(Duration::from_millis(60));
+        }
+        Ok(())
+    }
+
     /// Waits for operators' commands that are still out.
     pub fn join(&mut self) {
         for operator in self.operators.drain(..) {
--- a/src/commands/fleet.rs
+++ b/src/commands/fleet.rs
@@ -39,7 +39,7 @@
 fn readmit(readmit: &Readmit) -> Result<(), End> {
     let mut asker = Asker::new(&readmit.ask.operator)?;
     let seats: Vec<u64> = asker.fleet.deciders.keys().copied().filter(|s| *s != readmit.seat).collect();
-    let mut why = "no other decider answered".to_owned();
+    let mut why = Vec::new();
     for seat in seats {
         let question = Asked::Readmit(readmit.seat);
         let asked = asker.caller.ask(seat, &question, Duration::from_secs(30));
@@ -48,12 +48,12 @@
                 println!("decider {} is back in its seat", readmit.seat);
                 return Ok(());
             }
-            Ok(Told::No(no)) => why = format!("decider {seat}: {no}"),
-            Ok(_) => why = format!("decider {seat} answered another question"),
-            Err(e) => why = format!("decider {seat}: {e}"),
+            Ok(Told::No(no)) => why.push(format!("decider {seat}: {no}")),
+            Ok(_) => why.push(format!("decider {seat} answered another question")),
+            Err(e) => why.push(format!("decider {seat}: {e}")),
         }
     }
-    Err((NO, why))
+    Err((NO, why.join("; ")))
 }
 
 fn deciders(asker: &mut Asker) -> Vec<(u64, Result<Box<Decider>, String>)> {
--- a/src/commands/policy.rs
+++ b/src/commands/policy.rs
@@ -97,6 +97,9 @@
             let more = match &more {
                 serde_json::Value::Null => String::new(),
                 serde_json::Value::String(text) => format!(": {text}"),
+                serde_json::Value::Array(lines) => {
+                    lines.iter().filter_map(|l| l.as_str()).map(|l| format!("\n  {l}")).collect()
+                }
                 other => format!(": {other}"),
             };
             println!("{id} {word}{more}");
