--- a/crates/policy/src/switch/lead.rs
+++ b/crates/policy/src/switch/lead.rs
@@ -71,6 +71,17 @@
         self.follow(now, state);
         let who = (ask.member.clone(), ask.life);
         let round = ask.round;
+        // Also one that is not a member yet: it must not be taken for lost between its joining and its next question.
+        let heard = Heard {
+            at: now,
+            version: ask.version,
+            holds: ask.holds.clone(),
+            why_not: ask.why_not.clone(),
+            note: ask.note.clone(),
+        };
+        if super::state::good_name(&ask.member) && self.heard.len() < 2 * super::state::MEMBERS_MOST {
+            self.heard.insert(who.clone(), heard);
+        }
         let (Some(times), Some(_)) = (state.times, state.members.get(&who)) else {
             let reply = Reply { round, grant: None, check: None, again: JOIN_AGAIN };
             let waiting = self.joining.get(&who).is_some_and(|at| now - at < 500.0);
@@ -85,18 +96,9 @@
         if self.leaving.contains_key(&who) {
             return (Reply { round, grant: None, check: None, again: JOIN_AGAIN }, Vec::new());
         }
-        let heard = Heard {
-            at: now,
-            version: ask.version,
-            holds: ask.holds.clone(),
-            why_not: ask.why_not.clone(),
-            note: ask.note.clone(),
-        };
-        self.heard.insert(who.clone(), heard);
         let pending = state.pending.as_ref();
         if let Some(p) = pending {
-            if let Some((id, faults)) = ask.checked.as_ref().filter(|(id, _)| *id == p.id) {
-                debug_assert_eq!(*id, p.id);
+            if let Some((_, faults)) = ask.checked.as_ref().filter(|(id, _)| *id == p.id) {
                 self.checked.insert(who.clone(), faults.clone());
             }
             // It took a short right, which replaced the long one, before it asked this.
@@ -135,6 +137,9 @@
 
     fn follow(&mut self, now: f64, state: &State) {
         self.leaving.retain(|who, _| state.members.contains_key(who));
+        // Lives that asked and never joined are forgotten, so that strangers leave no trace.
+        let right = state.times.map_or(0.0, |times| times.right);
+        self.heard.retain(|who, heard| state.members.contains_key(who) || now - heard.at <= right);
         match (&state.pending, &mut self.change) {
             (None, _) => {
                 if self.change.take().is_some() {
@@ -167,7 +172,6 @@
             let lost: Vec<_> = state.members.keys().filter(lost).cloned().collect();
             for (member, life) in lost {
                 let who = (member.clone(), life);
-                self.heard.remove(&who);
                 if self.leaving.get(&who).is_none_or(|at| now - at > 500.0) {
                     self.leaving.insert(who, now);
                     commands.push(Command::Leave { member, life });
--- /dev/null
+++ b/crates/policy/tests/document.rs
@@ -0,0 +1,128 @@
+//! Policies as documents: read, checked, compared, and what they say of a request.
+
+use beamgap_policy::check::{usable, Known};
+use beamgap_policy::diff::diff;
+use beamgap_policy::document::{read, Policy};
+use beamgap_policy::rules::{Meter, No, Ruling};
+use proptest::prelude::*;
+
+fn known() -> Known {
+    let names = |list: &[&str]| list.iter().map(|n| n.to_string()).collect();
+    Known { classes: names(&["lookup", "report"]), accounts: names(&["leinster"]), zones: names(&["a", "b"]) }
+}
+
+fn policy(text: &str) -> Policy {
+    read("p.hcl", text).unwrap_or_else(|e| panic!("{e:?}")).policy
+}
+
+#[test]
+fn each_fault_names_file_line_key_and_fix() {
+    for (text, place, key, says) in [
+        ("class \"lookup\" {}\n", "p.hcl:1:1", "form", "is missing"),
+        ("form = 2\nwhatever {}\n", "p.hcl:1:1", "form", "update this front end's program"),
+        ("form = 1\nclass \"lokup\" {\n}\n", "p.hcl:2:1", "class \"lokup\"", "did you mean `lookup`?"),
+        (
+            "form = 1\naccount \"x\" {\n  share = \"50%\"\n}\n",
+            "p.hcl:2:1",
+            "account \"x\"",
+            "known here: leinster",
+        ),
+        (
+            "form = 1\naccount \"leinster\" {\n  share = \"150%\"\n}\n",
+            "p.hcl:3:11",
+            "accounts[0].share",
+            "more than all",
+        ),
+        (
+            "form = 1\nclass \"report\" {\n  deadline = 500\n}\n",
+            "p.hcl:3:14",
+            "classes[0].deadline",
+            "\"500 ms\"",
+        ),
+        (
+            "form = 1\nclass \"report\" {\n  atempts = 2\n}\n",
+            "p.hcl:3:3",
+            "classes[0].atempts",
+            "did you mean `attempts`?",
+        ),
+        ("form = 1\nclass \"report\" {}\nclass \"report\" {}\n", "p.hcl:3:1", "classes[1]", "stands twice"),
+        (
+            "form = 1\nzone \"a\" {\n weight = \"0%\"\n}\nzone \"b\" {\n weight = \"0%\"\n}\n",
+            "p.hcl:1:1",
+            "zone",
+            "leave one zone",
+        ),
+    ] {
+        let faults = usable("p.hcl", text, &known()).expect_err(text);
+        let told = faults[0].to_string();
+        assert!(told.starts_with(place) && told.contains(key) && told.contains(says), "{text}: {told}");
+    }
+    assert!(read("p.hcl", &"#".repeat(70_000)).is_err(), "too long");
+}
+
+#[test]
+fn a_difference_is_one_of_meaning() {
+    let a = policy("form = 1\n# a comment\nclass \"report\" {\n  attempts = 2\n}\nengine \"e\" {\n  left_out = false\n}\n");
+    let b = policy("form = 1\nclass \"report\" {\n attempts=2\n refused = false\n}\nzone \"a\" {\n weight = \"100%\"\n}\n");
+    assert!(diff(&a, &b).is_empty(), "{:?}", diff(&a, &b));
+    let c = policy("form = 1\nclass \"report\" {\n  attempts = 3\n}\nengine \"e\" {\n  left_out = true\n}\n");
+    let told: Vec<String> = diff(&a, &c).iter().map(ToString::to_string).collect();
+    assert_eq!(told, ["class \"report\" attempts: 2 -> 3", "engine \"e\": in use -> left out"]);
+}
+
+#[test]
+fn a_request_is_narrowed_by_class_rate_share_and_what_is_open() {
+    let text = "form = 1\nadmission {\n  open_most = 5\n}\nclass \"report\" {\n  refused = true\n}\nclass \"lookup\" {\n  rate = 10\n  attempts = 2\n  deadline = \"1 s\"\n}\n";
+    let ruling = Ruling::new(policy(text), &known().classes);
+    let mut meter = Meter::default();
+    assert_eq!(meter.admit(0.0, &ruling, 1, None, 0), Err(No::Class));
+    assert_eq!(meter.admit(0.0, &ruling, 0, None, 5), Err(No::Open));
+    let within = (0..100).filter(|i| meter.admit(f64::from(*i) * 50.0, &ruling, 0, None, 0).is_ok()).count();
+    assert!(
+        (55..=62).contains(&within),
+        "{within} of 100 in five seconds at ten a second, with a second's worth at once"
+    );
+    let terms = meter.admit(9000.0, &ruling, 0, None, 0).unwrap();
+    assert_eq!((terms.attempts, terms.deadline_ms), (Some(2), Some(1000.0)));
+    let ruling =
+        Ruling::new(policy("form = 1\naccount \"leinster\" {\n  share = \"25%\"\n}\n"), &known().classes);
+    for (others, share) in [(3, 0.25f64), (1, 0.5), (0, 1.0)] {
+        let (mut meter, mut own) = (Meter::default(), 0);
+        for i in 0..400 {
+            let now = f64::from(i) * 10.0;
+            own += usize::from(meter.admit(now, &ruling, 0, Some("leinster"), 0).is_ok());
+            (0..others).for_each(|_| assert!(meter.admit(now, &ruling, 0, Some("munster"), 0).is_ok()));
+        }
+        // A quarter of all that asks, whatever part of that it is itself.
+        let least: f64 = 0.25 / share;
+        let part = own as f64 / 400.0;
+        assert!(
+            (part - least.min(1.0)).abs() < 0.08,
+            "{others} others: {part} of its own, {least} are its share"
+        );
+    }
+}
+
+proptest! {
+    /// A lower weight keeps a part of the engines that a higher one keeps, about as many as it says.
+    #[test]
+    fn a_zones_weight_keeps_its_part_and_nothing_new_when_it_falls(low in 0u32..100, more in 0u32..100) {
+        let high = (low + more).min(100);
+        let of = |weight: u32| {
+            let text = format!("form = 1\nzone \"a\" {{\n  weight = \"{weight}%\"\n}}\n");
+            let ruling = Ruling::new(policy(&text), &[]);
+            (0..400).filter(|i| !ruling.leaves_out(&format!("s-{i:08x}"), "a")).collect::<std::collections::BTreeSet<_>>()
+        };
+        let (kept, all) = (of(low), of(high));
+        prop_assert!(kept.is_subset(&all));
+        prop_assert!((all.len() as f64 / 4.0 - f64::from(high)).abs() < 10.0, "{} of 400 at {high}%", all.len());
+    }
+
+    /// No text brings the reader down, and what it reads it compares as equal to itself.
+    #[test]
+    fn any_text_is_read_or_refused(text in "(form = [0-9]{1,3}\n)?(class|engine|zone|account|admission)? ?(\"[a-z]{0,5}\")? ?\\{?[ -~\n]{0,80}\\}?") {
+        if let Ok(read) = read("p", &text) {
+            prop_assert!(diff(&read.policy, &read.policy).is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/fleet.rs
@@ -0,0 +1,206 @@
+//! The switch on a set clock with 300 members: how long a change takes, how wide versions overlap, and what each failure
+//! does to it. The machines are those of the program; what stands in for the council is a log that commits at once.
+
+use beamgap_policy::switch::hold::{Act, Hold};
+use beamgap_policy::switch::lead::Lead;
+use beamgap_policy::switch::state::{Change, Command, Outcome, State};
+use beamgap_policy::switch::{Plant, Times};
+
+struct Fleet {
+    now: f64,
+    state: State,
+    lead: Lead,
+    holds: Vec<Hold>,
+    /// Members that are cut off, and members whose clock runs at another rate.
+    cut: Vec<bool>,
+    rate: Vec<f64>,
+    first: Vec<f64>,
+    last: Vec<f64>,
+    asks: usize,
+    silent: f64,
+}
+
+const STEP: f64 = 5.0;
+
+impl Fleet {
+    fn new(members: usize) -> Fleet {
+        let mut state = State::default();
+        state.apply(&Command::Found(Times::default()));
+        let mut lead = Lead::default();
+        lead.role(0.0, true);
+        let hold = |m: usize| Hold::new(&format!("m{m}"), m as u64, 1, Plant::None);
+        Fleet {
+            now: 0.0,
+            state,
+            lead,
+            holds: (0..members).map(hold).collect(),
+            cut: vec![false; members],
+            rate: vec![1.0; members],
+            first: vec![f64::INFINITY; 8],
+            last: vec![0.0; 8],
+            asks: 0,
+            silent: 0.0,
+        }
+    }
+
+    fn commit(&mut self, commands: Vec<Command>) {
+        commands.iter().for_each(|command| self.state.apply(command));
+    }
+
+    fn run(&mut self, ms: f64) {
+        let until = self.now + ms;
+        while self.now < until {
+            self.now += STEP;
+            let commands = self.lead.tick(self.now, &self.state);
+            self.commit(commands);
+            let mut any = false;
+            for m in 0..self.holds.len() {
+                let own = self.now * self.rate[m];
+                if let Some(version) = self.holds[m].admits(own) {
+                    any = true;
+                    let v = version as usize;
+                    (self.first[v], self.last[v]) = (self.first[v].min(self.now), self.now);
+                }
+                let Some(ask) = self.holds[m].ask(own, "") else { continue };
+                let round = ask.round;
+                if self.cut[m] || !self.lead.leads() {
+                    self.holds[m].no_answer(own + 400.0, round);
+                    continue;
+                }
+                self.asks += 1;
+                let (reply, commands) = self.lead.answer(self.now, &self.state, &ask);
+                self.commit(commands);
+                for act in self.holds[m].reply(own, reply) {
+                    match act {
+                        Act::Use(version, _) => self.holds[m].used(version, Ok(())),
+                        Act::Check(id, _) => self.holds[m].checked(own, &id, Vec::new()),
+                    }
+                }
+            }
+            self.silent += if any { 0.0 } else { STEP };
+        }
+    }
+
+    fn propose(&mut self, id: &str) -> f64 {
+        let text = Some(format!("form = 1 # {id}\n"));
+        self.commit(vec![Command::Propose(Change {
+            id: id.to_owned(),
+            by: "o".to_owned(),
+            text,
+            base: None,
+        })]);
+        self.now
+    }
+
+    fn until_all_have(&mut self, version: u64) -> f64 {
+        let from = self.now;
+        for _ in 0..4000 {
+            let all = (0..self.holds.len()).filter(|m| !self.cut[*m]);
+            let now = self.now;
+            if all.into_iter().all(|m| self.holds[m].admits(now * self.rate[m]) == Some(version)) {
+                return self.now - from;
+            }
+            self.run(STEP);
+        }
+        panic!("version {version} is not everywhere after 20 s");
+    }
+}
+
+#[test]
+fn three_hundred_members_switch_within_a_second_and_ask_less_than_a_thousand_times_a_second() {
+    let mut fleet = Fleet::new(300);
+    fleet.run(3000.0);
+    (fleet.asks, fleet.silent) = (0, 0.0);
+    fleet.run(10_000.0);
+    let idle = fleet.asks as f64 / 10.0;
+    fleet.propose("c1");
+    let took = fleet.until_all_have(1);
+    let overlap = fleet.last[0] - fleet.first[1];
+    println!("300 members: {idle:.0} questions a second at rest; in force everywhere after {took:.0} ms, overlap {overlap:.0} ms");
+    assert!(idle <= 600.0, "{idle} questions a second at rest");
+    assert!(took <= 3000.0 && overlap <= 1000.0, "{took} ms, overlap {overlap} ms");
+    assert_eq!(fleet.silent, 0.0, "somebody admits at any moment");
+}
+
+#[test]
+fn members_that_are_cut_off_or_slow_by_five_per_cent_hold_a_change_up_no_longer_than_their_rights() {
+    for rate in [0.95, 1.0, 1.05] {
+        let mut fleet = Fleet::new(30);
+        fleet.rate = vec![rate; 30];
+        fleet.run(3000.0);
+        (0..5).for_each(|m| fleet.cut[m] = true);
+        fleet.propose("c1");
+        let took = fleet.until_all_have(1);
+        fleet.run(8000.0);
+        let overlap = fleet.last[0] - fleet.first[1];
+        assert!(overlap <= 1000.0, "overlap {overlap} ms at rate {rate}");
+        assert!(
+            (1000.0..=9000.0).contains(&took),
+            "{took} ms: the check's time and the rights of those cut off"
+        );
+        (0..5).for_each(|m| fleet.cut[m] = false);
+        fleet.run(2000.0);
+        assert!((0..30).all(|m| fleet.holds[m].admits(fleet.now * rate) == Some(1)), "all are back");
+    }
+}
+
+#[test]
+fn a_new_leader_that_knows_nothing_waits_for_all_rights_and_ends_what_was_decided() {
+    let mut fleet = Fleet::new(9);
+    fleet.run(3000.0);
+    fleet.cut[8] = true;
+    fleet.propose("c1");
+    while !fleet.state.pending.as_ref().is_some_and(|p| p.decided) {
+        fleet.run(STEP);
+    }
+    fleet.lead.role(fleet.now, false);
+    fleet.run(1200.0);
+    fleet.lead.role(fleet.now, true);
+    let took = fleet.until_all_have(1);
+    assert_eq!(fleet.state.outcome("c1"), Some(Outcome::InForce(1)));
+    assert!(took <= 7000.0, "{took} ms");
+    assert!(fleet.last[0] - fleet.first[1] <= 1000.0);
+    assert_eq!(fleet.state.members.len(), 9, "who is cut off is not forgotten within its rights");
+    fleet.run(80_000.0);
+    assert_eq!(fleet.state.members.len(), 8, "and is after twelve times as long");
+    fleet.cut[8] = false;
+    fleet.run(2000.0);
+    assert_eq!(fleet.holds[8].admits(fleet.now), Some(1), "it joins again");
+}
+
+#[test]
+fn commands_that_were_overtaken_change_nothing() {
+    let mut state = State::default();
+    let propose = |id: &str, base| {
+        Command::Propose(Change {
+            id: id.to_owned(),
+            by: "o".to_owned(),
+            text: Some("form = 1\n".to_owned()),
+            base,
+        })
+    };
+    for (command, outcomes) in [
+        (Command::Activate { id: "a".to_owned() }, vec![("a", None)]),
+        (propose("a", Some(0)), vec![("a", Some(Outcome::Checking))]),
+        (Command::Activate { id: "a".to_owned() }, vec![("a", Some(Outcome::Checking))]),
+        (Command::Decide { id: "b".to_owned() }, vec![("a", Some(Outcome::Checking))]),
+        (Command::Decide { id: "a".to_owned() }, vec![("a", Some(Outcome::Decided(1)))]),
+        (Command::TakeBack { id: "a".to_owned() }, vec![("a", Some(Outcome::Decided(1)))]),
+        (
+            Command::TurnDown { id: "a".to_owned(), faults: Vec::new() },
+            vec![("a", Some(Outcome::Decided(1)))],
+        ),
+        (propose("a", None), vec![("a", Some(Outcome::Decided(1)))]),
+        (Command::Activate { id: "a".to_owned() }, vec![("a", Some(Outcome::InForce(1)))]),
+        (propose("a", None), vec![("a", Some(Outcome::InForce(1)))]),
+        (Command::Activate { id: "a".to_owned() }, vec![("a", Some(Outcome::InForce(1)))]),
+    ] {
+        state.apply(&command);
+        outcomes
+            .iter()
+            .for_each(|(id, outcome)| assert_eq!(state.outcome(id), *outcome, "after {command:?}"));
+    }
+    state.apply(&propose("stale", Some(0)));
+    assert!(matches!(state.outcome("stale"), Some(Outcome::TurnedDown(_))), "made from another version");
+    assert_eq!((state.version(), state.pending), (1, None));
+}
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -65,7 +65,7 @@
             .args(["run", "--operator"])
             .arg(&self.operator)
             .env("NODE_CONFIG", &self.config)
-            .env("BEAMGAP_TRIAL", format!("history,{}", self.trial))
+            .env("BEAMGAP_TRIAL", &self.trial)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
@@ -121,6 +121,17 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Seconds of processor time that it has used, and its resident memory in KiB.
+    pub fn used(&self) -> Option<(f64, u64)> {
+        let id = self.id()?;
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
+        let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        Some((ticks / 100.0, rss.split_whitespace().next()?.parse().ok()?))
+    }
+
     /// Kills it outright.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -32,6 +32,12 @@
     pub check: u64,
     /// Each client's pause between requests.
     pub every: Duration,
+    /// Engines.
+    pub engines: u32,
+    /// Whether members form a fleet; if not, the policy is off.
+    pub fleet: bool,
+    /// Whether members write down what they admit.
+    pub history: bool,
     /// A member whose configuration has another name for the second class.
     pub odd: Option<usize>,
 }
@@ -45,6 +51,9 @@
             right: 1800,
             check: 600,
             every: Duration::from_millis(15),
+            engines: 3,
+            fleet: true,
+            history: true,
             odd: None,
         }
     }
@@ -107,7 +116,7 @@
         let history = History::default();
         let failed = |e: std::io::Error| e.to_string();
         let takes = Duration::from_millis(4);
-        let engines = (1..=3).map(|n| Engine::start(n, takes, history.clone()));
+        let engines = (1..=options.engines).map(|n| Engine::start(n, takes, history.clone()));
         let engines = engines.collect::<Result<Vec<_>, _>>().map_err(failed)?;
         let mut relays = BTreeMap::new();
         // The operator's own links are those of one more member.
@@ -146,14 +155,30 @@
         for me in 0..world.options.members {
             world.begin(me)?;
         }
+        if !world.options.fleet {
+            return Ok(world);
+        }
         let founded = world.operate(&["fleet", "found"]);
         if !founded.status.success() {
             return Err(format!("not founded: {}", String::from_utf8_lossy(&founded.stderr)));
         }
-        world.all_admit(0, Duration::from_secs(30))?;
+        if world.options.history {
+            world.all_admit(0, Duration::from_secs(30))?;
+        } else {
+            world.wait("all hold a right", Duration::from_secs(30), |w| {
+                let status = w.status();
+                let members = status["members"].as_array().map_or(&[][..], Vec::as_slice);
+                members.len() == w.options.members && members.iter().all(|m| m["right"] == "long")
+            })?;
+        }
         Ok(world)
     }
 
+    /// The operator's file that names the deciders.
+    pub fn operator(&self) -> PathBuf {
+        self.folder.join("operator.hcl")
+    }
+
     /// A policy's file.
     pub fn policy(&self, number: usize) -> PathBuf {
         self.folder.join(format!("policy-{number}.hcl"))
@@ -207,15 +232,17 @@
         );
         std::fs::write(&config, text)?;
         let operator = self.folder.join(format!("{name}.hcl"));
-        std::fs::write(&operator, self.block(me) + "control {\n  http = \"127.0.0.1:0\"\n}\n")?;
+        let block = if self.options.fleet { self.block(me) } else { String::new() };
+        std::fs::write(&operator, block + "control {\n  http = \"127.0.0.1:0\"\n}\n")?;
         let trials = &self.options.trials;
         let trial = trials.get(me).or(trials.last()).map_or("", String::as_str);
-        Ok(Process::new(&name, &self.binary, config, operator, trial, self.history.clone()))
+        let trial = if self.options.history { format!("history,{trial}") } else { trial.to_owned() };
+        Ok(Process::new(&name, &self.binary, config, operator, &trial, self.history.clone()))
     }
 
     /// Starts a member's process, and has links and its client lead there.
     pub fn begin(&mut self, me: usize) -> Result<(), String> {
-        self.members[me].start(me < SEATS)?;
+        self.members[me].start(self.options.fleet && me < SEATS)?;
         let (front, fleet) = {
             let said = self.members[me].said();
             (said.front, said.fleet)
--- /dev/null
+++ b/examples/fleet_policy.rs
@@ -0,0 +1,194 @@
+//! Measures a change of policy on real processes: `cargo build --release && cargo run --release --example fleet_policy -- WHAT`.
+//!
+//! `change N`: N members, 20 changes: time from the command's start to in force everywhere, and the overlap.
+//! `idle N`: bytes and processor time per second of a fleet at rest. `leader N`: time in which nothing is admitted after the
+//! leader's death. `cost`: processor time per request with the policy on and off, in turn. `front OLD NEW`: processor time
+//! per request and memory of one front end before 6, 60 and 80 engines, two programs in turn.
+
+use beamgap_rig::history::What;
+use beamgap_rig::now;
+use beamgap_rig::world::{Options, World};
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+type Done = Result<(), Box<dyn Error>>;
+
+fn options(members: usize) -> Options {
+    Options {
+        members,
+        switch_bound: 1000,
+        right: 5000,
+        check: 2000,
+        every: Duration::from_millis(20),
+        ..Options::default()
+    }
+}
+
+fn told(name: &str, values: &mut [f64], unit: &str) {
+    values.sort_by(f64::total_cmp);
+    let at = |part: f64| {
+        values.get(((values.len() - 1) as f64 * part).round() as usize).copied().unwrap_or(f64::NAN)
+    };
+    println!(
+        "{name}: p50 {:.1} p99 {:.1} max {:.1} {unit} ({} runs)",
+        at(0.5),
+        at(0.99),
+        at(1.0),
+        values.len()
+    );
+}
+
+fn change(binary: &Path, members: usize) -> Done {
+    let mut world = World::start(binary, "change", options(members))?;
+    let (mut command, mut everywhere, mut overlaps) = (Vec::new(), Vec::new(), Vec::new());
+    for i in 0..20u64 {
+        let from = now();
+        let file = world.policy(1 + (i % 3) as usize);
+        let (code, version) = world.change(&["policy", "propose", &file.to_string_lossy(), "--json"]);
+        if code != 0 {
+            return Err(format!("change {i} ended with {code}").into());
+        }
+        command.push(now() - from);
+        world.all_admit(i + 1, Duration::from_secs(20))?;
+        let version = version.unwrap_or(0);
+        let (mut last_use, mut first, mut last) = (from, f64::INFINITY, 0.0f64);
+        for event in world.history.all().iter().filter(|e| e.at >= from) {
+            match event.what {
+                What::Use { version: v, .. } if v == version => last_use = event.at,
+                What::Admit { version: v, .. } if v == version => first = first.min(event.at),
+                What::Admit { version: v, .. } if v < version => last = event.at,
+                _ => {}
+            }
+        }
+        everywhere.push(last_use - from);
+        overlaps.push((last - first).max(0.0));
+    }
+    println!("{members} processes");
+    told("  the command, start to end", &mut command, "ms");
+    told("  from its start until the last member uses it", &mut everywhere, "ms");
+    told("  overlap of two versions", &mut overlaps, "ms");
+    println!("  {:?}", world.judge()?);
+    Ok(())
+}
+
+fn used(world: &World) -> Vec<f64> {
+    world.members.iter().filter_map(|m| m.used()).map(|(cpu, _)| cpu).collect()
+}
+
+fn idle(binary: &Path, members: usize) -> Done {
+    let world = World::start(binary, "idle", options(members))?;
+    world.clients.iter().for_each(|c| c.asks(None));
+    std::thread::sleep(Duration::from_secs(2));
+    let (cpu, bytes) = (used(&world), world.bytes());
+    std::thread::sleep(Duration::from_secs(20));
+    let after = used(&world);
+    let each: Vec<f64> = after.iter().zip(&cpu).map(|(a, b)| (a - b) / 20.0 * 100.0).collect();
+    let all = (world.bytes() - bytes) as f64 / 20.0;
+    let mean = |list: &[f64]| list.iter().sum::<f64>() / list.len().max(1) as f64;
+    println!(
+        "{members} processes at rest: {all:.0} bytes a second over all links, deciders {:.2}% of a core each, others {:.2}%",
+        mean(&each[..3]),
+        mean(each.get(3..).unwrap_or_default())
+    );
+    Ok(())
+}
+
+fn leader(binary: &Path, members: usize) -> Done {
+    let mut world = World::start(binary, "leader", options(members))?;
+    let (mut gaps, mut elections) = (Vec::new(), Vec::new());
+    for _ in 0..8 {
+        let leader = world.leader().ok_or("nobody leads")?;
+        let from = now();
+        world.kill(leader);
+        world.wait("another leads", Duration::from_secs(20), |w| w.leader().is_some_and(|l| l != leader))?;
+        elections.push(now() - from);
+        std::thread::sleep(Duration::from_secs(2));
+        let mut before = from;
+        let mut gap = 0.0f64;
+        for event in world.history.all().iter().filter(|e| e.at >= from) {
+            if let What::Admit { .. } = event.what {
+                gap = gap.max(event.at - before);
+                before = event.at;
+            }
+        }
+        gaps.push(gap);
+        world.begin(leader)?;
+        world.all_admit(0, Duration::from_secs(20))?;
+    }
+    println!("{members} processes, the leader killed");
+    told("  until another is seen to lead", &mut elections, "ms");
+    told("  longest time in which nobody admitted", &mut gaps, "ms");
+    Ok(())
+}
+
+/// Processor microseconds for each request served, over all members, and the largest resident memory in KiB.
+fn per_request(world: &World, seconds: u64) -> (f64, u64) {
+    std::thread::sleep(Duration::from_secs(2));
+    let (cpu, served) = (used(world).iter().sum::<f64>(), world.counts().0);
+    std::thread::sleep(Duration::from_secs(seconds));
+    let (after, now_served) = (used(world).iter().sum::<f64>(), world.counts().0);
+    let memory = world.members.iter().filter_map(|m| m.used()).map(|(_, rss)| rss).max().unwrap_or(0);
+    ((after - cpu) * 1e6 / (now_served - served).max(1) as f64, memory)
+}
+
+fn cost(binary: &Path) -> Done {
+    let (mut ratios, mut lines) = (Vec::new(), Vec::new());
+    for round in 0..5 {
+        let mut both = Vec::new();
+        for fleet in [true, false] {
+            let every = Duration::from_millis(2);
+            let world = World::start(binary, "cost", Options { fleet, every, history: false, ..options(3) });
+            // Without a history nobody is seen to admit: the fleet is founded all the same.
+            let world = world?;
+            both.push(per_request(&world, 8));
+        }
+        ratios.push(both[0].0 / both[1].0);
+        lines.push(format!(
+            "  round {round}: on {:.1} us, {} KiB; off {:.1} us, {} KiB",
+            both[0].0, both[0].1, both[1].0, both[1].1
+        ));
+    }
+    println!("processor time per request, policy on and off, three front ends of some 500 requests a second");
+    lines.iter().for_each(|line| println!("{line}"));
+    told("  on / off", &mut ratios, "");
+    Ok(())
+}
+
+fn front(old: &Path, new: &Path) -> Done {
+    for engines in [6, 60, 80] {
+        let mut ratios = Vec::new();
+        let mut lines = Vec::new();
+        for _ in 0..3 {
+            let mut both = Vec::new();
+            for binary in [old, new] {
+                let every = Duration::from_millis(3);
+                let options = Options { engines, fleet: false, history: false, every, ..options(1) };
+                both.push(per_request(&World::start(binary, "front", options)?, 6));
+            }
+            ratios.push(both[1].0 / both[0].0);
+            lines.push(format!(
+                "{:.1} us {} KiB / {:.1} us {} KiB",
+                both[0].0, both[0].1, both[1].0, both[1].1
+            ));
+        }
+        println!("{engines} engines, before / after: {}", lines.join("; "));
+        told("  after / before", &mut ratios, "");
+    }
+    Ok(())
+}
+
+fn main() -> Done {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let exe = std::env::current_exe()?;
+    let binary = exe.parent().and_then(Path::parent).ok_or("where is this program?")?.join("beamgap");
+    let number = words.get(1).and_then(|n| n.parse().ok()).unwrap_or(3);
+    match words.first().map(String::as_str) {
+        Some("change") => change(&binary, number),
+        Some("idle") => idle(&binary, number),
+        Some("leader") => leader(&binary, number),
+        Some("cost") => cost(&binary),
+        Some("front") if words.len() == 3 => front(&PathBuf::from(&words[1]), &PathBuf::from(&words[2])),
+        _ => Err("change N, idle N, leader N, cost, or front OLD NEW".into()),
+    }
+}
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -122,7 +122,8 @@
     /// Members heard of within a right's time that do not have the version in force yet.
     fn behind(&self, now: f64) -> usize {
         let (version, right) = (Some(self.state.version()), self.state.times.map_or(0.0, |t| t.right));
-        self.lead.heard().values().filter(|h| h.version != version && now - h.at < right).count()
+        let behind = self.lead.heard().values().filter(|h| h.version != version && now - h.at < right);
+        behind.count()
     }
 }
 
