--- a/src/commands/policy.rs
+++ b/src/commands/policy.rs
@@ -42,7 +42,9 @@
     match &check.config {
         None => drop(read(&check.file)?),
         Some(config) => {
-            let env = |name: &str| std::env::var(name).ok();
+            // Where it listens is of no matter here.
+            let anywhere = |name: &str| (name == "NODE_LISTEN").then(|| "127.0.0.1:0".to_owned());
+            let env = |name: &str| std::env::var(name).ok().or_else(|| anywhere(name));
             let config = Config::read(text_of(config)?.into_bytes(), &env).map_err(unusable)?;
             let known = Known {
                 classes: config.settings.classes.iter().map(|c| c.name.clone()).collect(),
--- a/src/fleet/gate.rs
+++ b/src/fleet/gate.rs
@@ -182,8 +182,9 @@
             }
         }
         let now = self.now();
-        let note = format!("admitted={} refused={}", self.counts.0, self.counts.1);
-        if let Some(ask) = self.hold.ask(now, &note) {
+        let due = self.hold.due() <= now;
+        let note = || format!("admitted={} refused={}", self.counts.0, self.counts.1);
+        if let Some(ask) = due.then(note).and_then(|note| self.hold.ask(now, &note)) {
             let round = ask.round;
             if !self.council.ask(round, encode(&Question::Renew(ask))) {
                 self.hold.no_answer(now, round);
--- a/tests/fleet_seeds.rs
+++ b/tests/fleet_seeds.rs
@@ -32,6 +32,9 @@
                     return;
                 }
                 let result = play_seed(binary(), seed, &trials);
+                if seed.is_multiple_of(50) {
+                    println!("seed {seed} is over");
+                }
                 if let Err(e) = &result {
                     println!("seed {seed}: {e}");
                 }
--- a/tests/operator.rs
+++ b/tests/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's file and the command line.
 
 use beamgap::node::config::Config;
+use beamgap_policy::check::{usable, Known};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::process::{Child, Command, Output, Stdio};
@@ -33,6 +34,46 @@
     assert_eq!(plain.settings.gateways, 2);
 }
 
+#[test]
+fn the_example_of_a_fleet_and_its_policy_are_good_and_without_the_block_it_is_off() {
+    let json = include_str!("../deploy/fleet.example.json");
+    let env = |name: &str| (name == "NODE_LISTEN").then(|| "127.0.0.1:0".to_owned());
+    let both =
+        |hcl: &str| Config::read_both(json.into(), Some(("fleet.hcl", hcl)), &env).map_err(|e| e.to_string());
+    let config = both(include_str!("../deploy/fleet.hcl")).unwrap();
+    let fleet = config.fleet.unwrap();
+    assert_eq!((fleet.name.as_str(), fleet.member.as_str(), fleet.seat), ("counter-fleet", "n1", Some(1)));
+    assert_eq!(
+        (fleet.deciders.len(), fleet.times.right, fleet.listen),
+        (3, 5_000.0, "127.0.0.1:7401".parse().ok())
+    );
+    let known = Known {
+        classes: config.settings.classes.iter().map(|c| c.name.clone()).collect(),
+        accounts: config.settings.tenants.iter().map(|t| t.name.clone()).collect(),
+        zones: config.zones,
+    };
+    let policy = usable("policy.hcl", include_str!("../deploy/policy.hcl"), &known).unwrap().policy;
+    assert_eq!((policy.left_out.len(), policy.classes.len(), policy.open_most), (1, 2, Some(2000)));
+    assert!(Config::read(json.into(), &env).unwrap().fleet.is_none());
+    for (from, to, told) in [
+        (
+            "decider \"3\" {",
+            "decider \"2\" {",
+            "fleet.deciders[2].seat is '2', not a number from 1 to 99 that stands once",
+        ),
+        ("seat   = 1", "seat = 4", "fleet.seat is 4, which no decider block names"),
+        ("folder = ", "# folder = ", "fleet.folder is missing"),
+        ("127.0.0.1:7402", "10.0.0.2:7402", "is beyond loopback"),
+        ("right        = \"5 s\"", "right = \"1 s\"", "fleet.right_ms is under twice the switch_bound"),
+        ("drift        = \"5%\"", "drift = \"50%\"", "fleet.drift is not from 0 to 0.2"),
+        ("switch_bound = \"1 s\"", "switch_bound = 1", "without a unit"),
+        ("counter-fleet", "counter fleet!", "fleet.name is not 1 to 64 letters"),
+    ] {
+        let told_now = both(&include_str!("../deploy/fleet.hcl").replace(from, to)).err().unwrap_or_default();
+        assert!(told_now.contains(told) && told_now.contains("fleet.hcl:"), "{to}: {told_now}");
+    }
+}
+
 #[test]
 fn an_error_of_meaning_names_the_line_in_the_operators_file() {
     for (operator, told) in [
