--- a/src/cli.rs
+++ b/src/cli.rs
@@ -61,7 +61,7 @@
     /// Propose a policy to the fleet, and follow it until it is in force everywhere or nowhere.
     Propose(Propose),
     /// Go back to the version before the one in force; a change as any other.
-    Rollback(Rollback),
+    Rollback(Follow),
     /// Take a change back that is not decided yet.
     TakeBack(Outcome),
     /// What became of a change.
@@ -101,27 +101,18 @@
 pub struct Propose {
     /// The policy.
     pub file: PathBuf,
-    /// The change's id; sent twice under one id it is one change. Drawn if absent.
-    #[arg(long)]
-    pub id: Option<String>,
-    /// Who proposes it, for the history.
-    #[arg(long, default_value = "operator")]
-    pub by: String,
-    /// How long to follow it, in seconds.
-    #[arg(long, default_value_t = 30, value_name = "SECONDS")]
-    pub wait: u64,
-    /// Whom to ask.
+    /// How it is followed.
     #[command(flatten)]
-    pub ask: Ask,
+    pub follow: Follow,
 }
 
-/// How to go back.
+/// How a change is sent, and followed to its outcome.
 #[derive(Debug, Args)]
-pub struct Rollback {
-    /// The change's id. Drawn if absent.
+pub struct Follow {
+    /// The change's id; sent twice under one id it is one change. Drawn if absent.
     #[arg(long)]
     pub id: Option<String>,
-    /// Who goes back, for the history.
+    /// Who makes it, for the history.
     #[arg(long, default_value = "operator")]
     pub by: String,
     /// How long to follow it, in seconds.
--- a/src/commands/policy.rs
+++ b/src/commands/policy.rs
@@ -1,7 +1,7 @@
 //! `beamgap policy`.
 
 use super::{text_of, unusable, Asker, End, NO, UNKNOWN, UNUSABLE};
-use crate::cli::{Ask, Outcome as OutcomeOf, Policy, PolicyCheck, PolicyDiff, Propose, Rollback, Show};
+use crate::cli::{Ask, Follow, Outcome as OutcomeOf, Policy, PolicyCheck, PolicyDiff, Propose, Show};
 use beamgap::fleet::machine::{Answer, Question};
 use beamgap::fleet::trial::machine_clock;
 use beamgap::node::config::Config;
@@ -21,7 +21,7 @@
         Policy::Check(check) => self::check(&check),
         Policy::Diff(two) => self::compare(&two),
         Policy::Propose(propose) => self::propose(propose),
-        Policy::Rollback(rollback) => self::rollback(rollback),
+        Policy::Rollback(follow) => change(None, follow),
         Policy::TakeBack(of) => self::take_back(&of),
         Policy::Outcome(of) => self::outcome(&of),
         Policy::Show(show) => self::show(&show),
@@ -81,15 +81,12 @@
     // What can't be read by anybody need not travel.
     read(&propose.file)?;
     let text = text_of(&propose.file)?;
-    change(Some(text), propose.id, propose.by, propose.wait, &propose.ask)
-}
-
-fn rollback(rollback: Rollback) -> Result<(), End> {
-    change(None, rollback.id, rollback.by, rollback.wait, &rollback.ask)
+    change(Some(text), propose.follow)
 }
 
 /// Sends a change and follows it to its outcome. Sent again under its id as often as need be: it is one change.
-fn change(text: Option<String>, id: Option<String>, by: String, wait: u64, ask: &Ask) -> Result<(), End> {
+fn change(text: Option<String>, follow: Follow) -> Result<(), End> {
+    let Follow { id, by, wait, ask } = follow;
     let mut asker = Asker::new(&ask.operator)?;
     let id = id.unwrap_or_else(fresh_id);
     let say = |word: &str, more: serde_json::Value| {
