The judge waits for the ends of the members' pipes, not for a tenth of a second

Change: the members are ended and the readers of their pipes joined before the history is judged. The other sleeps in the rig and its tests pace clients, relays and polls for an event; the two in cases lay requests into buffers and prove nothing.

--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -34,6 +34,8 @@
     trial: String,
     history: History,
     child: Option<Child>,
+    /// Reads what it says, to its end.
+    reader: Option<std::thread::JoinHandle<()>>,
     said: Arc<Mutex<Said>>,
 }
 
@@ -55,6 +57,7 @@
             trial: trial.to_owned(),
             history,
             child: None,
+            reader: None,
             said: Arc::default(),
         }
     }
@@ -74,7 +77,7 @@
         self.said = Arc::default();
         let stderr = child.stderr.take().ok_or("no standard error")?;
         let (said, history, name) = (self.said.clone(), self.history.clone(), self.name.clone());
-        std::thread::spawn(move || {
+        self.reader = Some(std::thread::spawn(move || {
             for line in BufReader::new(stderr).lines().map_while(Result::ok) {
                 if history.line(&name, &line) {
                     continue;
@@ -93,7 +96,7 @@
                     said.log.drain(..200);
                 }
             }
-        });
+        }));
         self.child = Some(child);
         let until = Instant::now() + Duration::from_secs(20);
         let listens = |said: &Said| said.health.is_some() && (said.fleet.is_some() || !decides);
@@ -132,12 +135,15 @@
         Some((ticks / 100.0, rss.split_whitespace().next()?.parse().ok()?))
     }
 
-    /// Kills it outright.
+    /// Kills it outright. All that it wrote down before is in the history when this returns.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill(); // It may have ended by itself.
             let _ = child.wait();
         }
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join(); // It does not panic; the pipe ends with its process.
+        }
     }
 
     fn signal(&self, signal: Signal) {
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -477,7 +477,8 @@
             client.asks(None);
             client.stop();
         }
-        std::thread::sleep(Duration::from_millis(100)); // For lines on their way; the verdict does not hang on it.
+        // What members wrote down is whole once their pipes have ended: no line is on its way any more.
+        self.members.iter_mut().for_each(Process::kill);
         judge(&self.history.all(), &law).map_err(|b: Break| {
             self.keep = true;
             b.to_string()
