--- a/crates/council/src/council.rs
+++ b/crates/council/src/council.rs
@@ -24,6 +24,7 @@
 const CONFIRM: Duration = Duration::from_millis(400); // for a majority to confirm the leader
 const CALL: Duration = Duration::from_millis(350); // for a question of this member, over all deciders
 const STEP: Duration = Duration::from_millis(250); // for one decider to answer it
+const CHANGE: Duration = Duration::from_secs(10); // for a change of deciders to be agreed on
 const QUESTIONS: usize = 4096; // that wait for the leader's confirmation
 const MINE: usize = 64; // of this member that are out
 const LOG_KEPT: u64 = 200; // entries behind a snapshot, for those that lag a little
@@ -466,6 +467,7 @@
             },
             Question::Found => self.found().await.map_or_else(Answer::No, |()| Answer::Done),
             Question::Readmit(seat) => self.readmit(seat).await.map_or_else(Answer::No, |()| Answer::Done),
+            Question::Remove(seat) => self.remove(seat).await.map_or_else(Answer::No, |()| Answer::Done),
         }
     }
 
@@ -547,14 +549,42 @@
         Err("the decider did not start in five seconds".to_owned())
     }
 
-    /// Gives a decider that lost its disk a new id in its seat. Its old one never votes again.
-    async fn readmit(&self, seat: Seat) -> Result<(), String> {
+    /// This decider's part, if it leads.
+    fn leading(&self) -> Result<(Raft, openraft::RaftMetrics<u64, BasicNode>), String> {
         let raft = self.raft().ok_or("its folder is blank or broken")?;
         let metrics = raft.metrics().borrow().clone();
         if metrics.state != ServerState::Leader {
             let leader = metrics.current_leader.map_or("nobody".to_owned(), |l| (l % SEATS).to_string());
             return Err(format!("decider {leader} leads: ask that one"));
         }
+        Ok((raft, metrics))
+    }
+
+    /// Takes the decider at a seat out of those that decide, one at a time. It keeps its folder, and can be readmitted.
+    async fn remove(&self, seat: Seat) -> Result<(), String> {
+        if self.settings.seat == Some(seat) {
+            return Err(format!(
+                "decider {seat} leads and can't be removed; end it first, then another leads"
+            ));
+        }
+        let (raft, metrics) = self.leading()?;
+        let before: BTreeSet<u64> = metrics.membership_config.membership().voter_ids().collect();
+        let to: BTreeSet<u64> = before.iter().copied().filter(|id| id % SEATS != seat).collect();
+        if to == before {
+            return Err(format!("decider {seat} has no vote"));
+        }
+        if to.len() < 2 {
+            return Err(format!("without decider {seat} a single one would be left; readmit another first"));
+        }
+        let changed = timeout(CHANGE, raft.change_membership(to, false)).await;
+        changed.map_err(|_| "the change was not agreed on in ten seconds")?.map_err(|e| e.to_string())?;
+        Ok(())
+    }
+
+    /// Gives a decider that lost its disk a new id in its seat. Its old one never votes again. Likewise one that had no
+    /// seat before.
+    async fn readmit(&self, seat: Seat) -> Result<(), String> {
+        let (raft, metrics) = self.leading()?;
         let store = lock(&self.now).store.clone().ok_or("its disk is not open")?;
         let own = lock(&store).marker().map_err(|e| e.to_string())?.ok_or("its folder is blank")?;
         let mut link = self.link(seat).ok_or(format!("decider {seat} is not in the file"))?;
@@ -581,12 +611,11 @@
             other => return Err(format!("decider {seat}: {other:?}")),
         }
         let address = self.book.get(&seat).ok_or("no address")?;
-        let limit = Duration::from_secs(10);
-        let learns = timeout(limit, raft.add_learner(id, BasicNode::new(address), true)).await;
+        let learns = timeout(CHANGE, raft.add_learner(id, BasicNode::new(address), true)).await;
         learns.map_err(|_| "it did not catch up in ten seconds")?.map_err(|e| e.to_string())?;
         let mut to: BTreeSet<u64> = voters.into_iter().filter(|voter| voter % SEATS != seat).collect();
         to.insert(id);
-        let changed = timeout(limit, raft.change_membership(to, false)).await;
+        let changed = timeout(CHANGE, raft.change_membership(to, false)).await;
         changed.map_err(|_| "the change was not agreed on in ten seconds")?.map_err(|e| e.to_string())?;
         Ok(())
     }
--- a/crates/council/src/disk.rs
+++ b/crates/council/src/disk.rs
@@ -1,5 +1,6 @@
 //! The seam to the disk: real files, or what a test puts in their place.
 
+pub use redb::StorageBackend as Backend;
 use redb::StorageBackend;
 use std::fs::File;
 use std::io;
--- a/crates/council/src/link/mod.rs
+++ b/crates/council/src/link/mod.rs
@@ -126,6 +126,8 @@
     Found,
     /// Give a blank decider at a seat a new place, as it lost its disk.
     Readmit(u64),
+    /// Take the decider at a seat out of those that decide.
+    Remove(u64),
 }
 
 /// What it is answered.
--- a/crates/council/src/store.rs
+++ b/crates/council/src/store.rs
@@ -21,6 +21,7 @@
 pub const FORM: u32 = 1;
 const FILE: &str = "council.redb";
 const FRESH: &str = "council.redb.new";
+const UNSYNCED: u64 = 8; // writes between two that are synced, for a fault that tests plant
 const CACHE: usize = 1 << 20; // bytes; the log is short and read once
 
 /// Why a store can't be used.
@@ -188,7 +189,9 @@
     /// Writes a batch; when this returns, it is on the disk. After a failure the store is broken.
     pub fn write(&mut self, batch: &Batch) -> Result<(), StoreError> {
         self.whole()?;
-        let sync = self.sync;
+        // As a decider does that leaves it to the system when to sync: now and then it is, and the marker is old by then.
+        let now_and_then = self.writes.is_multiple_of(UNSYNCED) || self.writes < UNSYNCED;
+        let sync = self.sync || now_and_then;
         match put(&self.db, batch, sync) {
             Ok(()) => {
                 self.writes += 1;
--- a/crates/policy/src/switch/lead.rs
+++ b/crates/policy/src/switch/lead.rs
@@ -125,7 +125,9 @@
             drift: times.drift,
             text: (ask.version != Some(version)).then(|| text.to_owned()),
         };
-        let again = if pending.is_some() { BUSY_AGAIN } else { times.right / 6.0 };
+        // Who takes up another version is to say so soon: that is what the operator's command waits for.
+        let busy = pending.is_some() || ask.version != Some(version);
+        let again = if busy { BUSY_AGAIN } else { times.right / 6.0 };
         (Reply { round, grant: Some(grant), check, again }, self.step(now, state))
     }
 
--- a/crates/rig/src/faults.rs
+++ b/crates/rig/src/faults.rs
@@ -21,8 +21,18 @@
     Room(usize),
     /// All links from a member to others, and from others to it.
     Links(usize, Way, Way),
+    /// The links between a decider and the other deciders, both ways; those that only ask still reach all.
+    Deciders(usize, Way),
     /// All links as they should be.
     Mend(usize),
+    /// Each fsync of a decider fails.
+    Unsynced(usize),
+    /// It works again.
+    Synced(usize),
+    /// All members are killed at the same moment.
+    Outage,
+    /// All that do not run start again, with their disks.
+    Power,
     /// An operator proposes the policy of this number.
     Propose(usize),
     /// An operator goes back.
@@ -67,7 +77,8 @@
         if steps.iter().any(|s| touches(&s.fault, who) && s.at + 1500 > at && s.at < end) {
             continue;
         }
-        let (begin, over) = match draw.below(9) {
+        let (begin, over) = match draw.below(10) {
+            9 if who < 3 => (Fault::Unsynced(who), Fault::Synced(who)),
             0 | 1 => (Fault::Kill(who), Fault::Start(who)),
             2 | 3 => (Fault::Stop(who), Fault::Wake(who)),
             4 if who < 3 => (Fault::Fill(who), Fault::Room(who)),
@@ -83,14 +94,39 @@
         steps.push(Step { at, fault: begin });
         steps.push(Step { at: end, fault: over });
     }
+    match draw.below(5) {
+        // A leader that its followers still reach, for longer than a right lasts, with a change beside it.
+        0 => {
+            let who = draw.below(3) as usize;
+            let at = 200 + draw.below(400);
+            steps.retain(|step| !touches(&step.fault, who));
+            steps.push(Step { at, fault: Fault::Deciders(who, Way::Silent) });
+            steps
+                .push(Step { at: at + 600 + draw.below(600), fault: Fault::Propose(draw.below(5) as usize) });
+            steps.push(Step { at: span, fault: Fault::Mend(who) });
+        }
+        // The power fails in the house, and what was not synced is gone.
+        1 => {
+            let at = 1000 + draw.below(span - 2000);
+            steps.retain(|s| !matches!(s.fault, Fault::Start(_)) && (s.at < at || is_change(&s.fault)));
+            steps.push(Step { at, fault: Fault::Outage });
+            steps.push(Step { at: at + 100, fault: Fault::Power });
+        }
+        _ => {}
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
 
+fn is_change(fault: &Fault) -> bool {
+    matches!(fault, Fault::Propose(_) | Fault::Rollback)
+}
+
 fn touches(fault: &Fault, who: usize) -> bool {
     match fault {
         Fault::Kill(m) | Fault::Start(m) | Fault::Stop(m) | Fault::Wake(m) => *m == who,
         Fault::Fill(m) | Fault::Room(m) | Fault::Links(m, ..) | Fault::Mend(m) => *m == who,
-        Fault::Propose(_) | Fault::Rollback => false,
+        Fault::Deciders(m, _) | Fault::Unsynced(m) | Fault::Synced(m) => *m == who,
+        Fault::Propose(_) | Fault::Rollback | Fault::Outage | Fault::Power => false,
     }
 }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -69,7 +69,8 @@
             .arg(&self.operator)
             .env("NODE_CONFIG", &self.config)
             .env("BEAMGAP_TRIAL", &self.trial)
-            .stdin(Stdio::null())
+            // Held open by this process alone: a member on its leash ends with whoever started it, however that ends.
+            .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()
@@ -127,12 +128,21 @@
     /// Seconds of processor time that it has used, and its resident memory in KiB.
     pub fn used(&self) -> Option<(f64, u64)> {
         let id = self.id()?;
-        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
-        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
-        let ticks = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+        // The scheduler's own count, in nanoseconds: `stat` counts in hundredths of a second.
+        let ran = |task: std::fs::DirEntry| {
+            let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+            text.split(' ').next()?.parse::<f64>().ok()
+        };
+        let tasks = std::fs::read_dir(format!("/proc/{id}/task")).ok()?.flatten();
+        let nanoseconds: f64 = tasks.filter_map(ran).sum();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
         let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-        Some((ticks / 100.0, rss.split_whitespace().next()?.parse().ok()?))
+        Some((nanoseconds / 1e9, rss.split_whitespace().next()?.parse().ok()?))
+    }
+
+    /// Sends it the signal that kills it outright; [`Process::kill`] waits for its end.
+    pub fn end(&self) {
+        self.signal(Signal::KILL);
     }
 
     /// Kills it outright. All that it wrote down before is in the history when this returns.
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -14,6 +14,9 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, Instant};
 
+/// While a file of this name is in a decider's folder, its fsync fails (`power` in `BEAMGAP_TRIAL`).
+const FSYNC_FAILS: &str = "fsync-fails";
+
 /// Deciders of a fleet.
 pub const SEATS: usize = 3;
 
@@ -40,6 +43,8 @@
     pub history: bool,
     /// A member whose configuration has another name for the second class.
     pub odd: Option<usize>,
+    /// Another program, which all members but the first run.
+    pub older: Option<PathBuf>,
 }
 
 impl Default for Options {
@@ -55,6 +60,7 @@
             fleet: true,
             history: true,
             odd: None,
+            older: std::env::var_os("RIG_OLDER").map(PathBuf::from),
         }
     }
 }
@@ -244,8 +250,14 @@
         std::fs::write(&operator, block + "control {\n  http = \"127.0.0.1:0\"\n}\n")?;
         let trials = &self.options.trials;
         let trial = trials.get(me).or(trials.last()).map_or("", String::as_str);
-        let trial = if self.options.history { format!("history,{trial}") } else { trial.to_owned() };
-        Ok(Process::new(&name, &self.binary, config, operator, &trial, self.history.clone()))
+        let older = self.options.older.as_ref().filter(|_| me > 0);
+        let trial = match older {
+            _ if !self.options.history => trial.to_owned(),
+            Some(_) => "history".to_owned(),
+            None => format!("history,leash,power,{trial}"),
+        };
+        let binary = older.unwrap_or(&self.binary);
+        Ok(Process::new(&name, binary, config, operator, &trial, self.history.clone()))
     }
 
     /// Starts a member's process, and has links and its client lead there.
@@ -348,7 +360,26 @@
             Fault::Fill(m) => self.members[*m].fill_disk(true),
             Fault::Room(m) => self.members[*m].fill_disk(false),
             Fault::Links(m, out, inward) => self.cut(*m, *out, *inward),
+            Fault::Deciders(m, way) => {
+                let between = |(from, seat): &(usize, usize)| *from < SEATS && (from == m || seat == m);
+                let links = self.relays.iter().filter(|(link, _)| between(link));
+                links.for_each(|(_, relay)| relay.set(*way, *way));
+            }
             Fault::Mend(m) => self.cut(*m, Way::Open, Way::Open),
+            Fault::Unsynced(m) => self.fail_fsync(*m, true)?,
+            Fault::Synced(m) => self.fail_fsync(*m, false)?,
+            Fault::Outage => {
+                // Killed first, all of them, and waited for only then.
+                self.members.iter().for_each(Process::end);
+                (0..self.members.len()).for_each(|me| self.kill(me));
+            }
+            Fault::Power => {
+                for me in 0..self.members.len() {
+                    if !self.members[me].runs() {
+                        self.begin(me)?;
+                    }
+                }
+            }
             Fault::Propose(number) => {
                 let file = self.policy(*number);
                 let file = file.to_string_lossy();
@@ -359,6 +390,16 @@
         Ok(())
     }
 
+    /// Has each fsync of a decider fail from now on, or work again.
+    pub fn fail_fsync(&self, me: usize, fails: bool) -> Result<(), String> {
+        let flag = self.disk(me).join(FSYNC_FAILS);
+        if fails {
+            return std::fs::write(flag, "").map_err(|e| e.to_string());
+        }
+        let _ = std::fs::remove_file(flag); // It may not be there.
+        Ok(())
+    }
+
     /// Plays a plan against the clock.
     pub fn play(&mut self, steps: &[Step]) -> Result<(), String> {
         let start = Instant::now();
--- a/examples/fleet_policy.rs
+++ b/examples/fleet_policy.rs
@@ -2,15 +2,18 @@
 //!
 //! `change N`: N members, 20 changes: time from the command's start to in force everywhere, and the overlap.
 //! `idle N`: bytes and processor time per second of a fleet at rest. `leader N`: time in which nothing is admitted after the
-//! leader's death. `cost`: processor time per request with the policy on and off, in turn. `front OLD NEW`: processor time
+//! leader's death. `look`: what the gate costs by itself. `cost`: processor time per request with the policy on and off, in turn. `front OLD NEW`: processor time
 //! per request and memory of one front end before 6, 60 and 80 engines, two programs in turn.
 
+use beamgap::fleet::trial::machine_clock;
+use beamgap_policy::document::read;
+use beamgap_policy::rules::{Meter, Ruling};
 use beamgap_rig::history::What;
 use beamgap_rig::now;
 use beamgap_rig::world::{Options, World};
 use std::error::Error;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 type Done = Result<(), Box<dyn Error>>;
 
@@ -42,7 +45,7 @@
 fn change(binary: &Path, members: usize) -> Done {
     let mut world = World::start(binary, "change", options(members))?;
     let (mut command, mut everywhere, mut overlaps) = (Vec::new(), Vec::new(), Vec::new());
-    for i in 0..20u64 {
+    for i in 0..if members > 9 { 20 } else { 100u64 } {
         let from = now();
         let file = world.policy(1 + (i % 3) as usize);
         let (code, version) = world.change(&["policy", "propose", &file.to_string_lossy(), "--json"]);
@@ -159,13 +162,18 @@
     for engines in [6, 60, 80] {
         let mut ratios = Vec::new();
         let mut lines = Vec::new();
-        for _ in 0..2 {
+        for round in 0..4 {
             let mut both = Vec::new();
-            for binary in [old, new] {
-                let every = Duration::from_millis(3);
+            // Which of the two comes first changes by turns.
+            let turn = if round % 2 == 0 { [old, new] } else { [new, old] };
+            for binary in turn {
+                let every = Duration::from_millis(2);
                 let options = Options { engines, fleet: false, history: false, every, ..options(1) };
                 both.push(per_request(&World::start(binary, "front", options)?, 4));
             }
+            if round % 2 != 0 {
+                both.reverse();
+            }
             ratios.push(both[1].0 / both[0].0);
             lines.push(format!(
                 "{:.1} us {} KiB / {:.1} us {} KiB",
@@ -178,6 +186,37 @@
     Ok(())
 }
 
+/// What a request costs at the gate: the reading of the clock, the right, the policy's rules.
+fn look() -> Done {
+    let text = "form = 1\nclass \"lookup\" {\n  attempts = 1\n  rate = 1000000\n}\naccount \"leinster\" {\n  share = \"90%\"\n}\n";
+    let ruling =
+        Ruling::new(read("look", text).map_err(|e| format!("{e:?}"))?.policy, &["lookup".to_owned()]);
+    const MANY: usize = 2_000_000;
+    let mut clocks = Vec::new();
+    let mut looks = Vec::new();
+    for _ in 0..20 {
+        let from = Instant::now();
+        let mut sum = 0.0;
+        for _ in 0..MANY {
+            sum += machine_clock();
+        }
+        clocks.push(from.elapsed().as_secs_f64() * 1e9 / MANY as f64);
+        let (mut meter, mut admitted) = (Meter::default(), 0usize);
+        let from = Instant::now();
+        for i in 0..MANY {
+            let now = machine_clock();
+            let account = Some(if i % 2 == 0 { "leinster" } else { "munster" });
+            admitted += usize::from(meter.admit(now, &ruling, 0, account, 10).is_ok());
+        }
+        looks.push(from.elapsed().as_secs_f64() * 1e9 / MANY as f64);
+        assert!(sum > 0.0 && admitted > 0);
+    }
+    println!("the gate alone, {MANY} times each");
+    told("  a reading of the clock", &mut clocks, "ns");
+    told("  the clock and the policy's rules", &mut looks, "ns");
+    Ok(())
+}
+
 fn main() -> Done {
     let words: Vec<String> = std::env::args().skip(1).collect();
     let exe = std::env::current_exe()?;
@@ -188,7 +227,8 @@
         Some("idle") => idle(&binary, number),
         Some("leader") => leader(&binary, number),
         Some("cost") => cost(&binary),
+        Some("look") => look(),
         Some("front") if words.len() == 3 => front(&PathBuf::from(&words[1]), &PathBuf::from(&words[2])),
-        _ => Err("change N, idle N, leader N, cost, or front OLD NEW".into()),
+        _ => Err("change N, idle N, leader N, cost, look, or front OLD NEW".into()),
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -150,13 +150,15 @@
     Status(Ask),
     /// Found a fleet, once: all deciders must be there with empty folders.
     Found(Ask),
-    /// Let a decider that lost its disk back in.
-    Readmit(Readmit),
+    /// Let a decider that lost its disk back in, or one that is new to the file.
+    Readmit(Seat),
+    /// Take a decider out of those that decide.
+    Remove(Seat),
 }
 
 /// Which decider.
 #[derive(Debug, Args)]
-pub struct Readmit {
+pub struct Seat {
     /// Its seat.
     pub seat: u64,
     /// Whom to ask.
--- a/src/commands/fleet.rs
+++ b/src/commands/fleet.rs
@@ -1,7 +1,7 @@
 //! `beamgap fleet`.
 
 use super::{Asker, End, NO, UNKNOWN};
-use crate::cli::{Ask, Fleet, Readmit};
+use crate::cli::{Ask, Fleet, Seat};
 use beamgap::fleet::machine::{Answer, Question, Status};
 use beamgap_council::link::{Answer as Told, Question as Asked, Status as Decider};
 use beamgap_policy::switch::Mark;
@@ -15,7 +15,8 @@
     match fleet {
         Fleet::Status(ask) => status(&ask),
         Fleet::Found(ask) => found(&ask),
-        Fleet::Readmit(readmit) => self::readmit(&readmit),
+        Fleet::Readmit(seat) => reseat(&seat, &Asked::Readmit(seat.seat), "is back in its seat"),
+        Fleet::Remove(seat) => reseat(&seat, &Asked::Remove(seat.seat), "decides no more"),
     }
 }
 
@@ -36,21 +37,21 @@
     }
 }
 
-fn readmit(readmit: &Readmit) -> Result<(), End> {
-    let mut asker = Asker::new(&readmit.ask.operator)?;
-    let seats: Vec<u64> = asker.fleet.deciders.keys().copied().filter(|s| *s != readmit.seat).collect();
+/// Has the leader give a decider its place, or take it.
+fn reseat(seat: &Seat, question: &Asked, done: &str) -> Result<(), End> {
+    let mut asker = Asker::new(&seat.ask.operator)?;
+    let seats: Vec<u64> = asker.fleet.deciders.keys().copied().filter(|s| *s != seat.seat).collect();
     let mut why = Vec::new();
-    for seat in seats {
-        let question = Asked::Readmit(readmit.seat);
-        let asked = asker.caller.ask(seat, &question, Duration::from_secs(30));
+    for other in seats {
+        let asked = asker.caller.ask(other, question, Duration::from_secs(30));
         match asker.runtime.block_on(asked) {
             Ok(Told::Done) => {
-                println!("decider {} is back in its seat", readmit.seat);
+                println!("decider {} {done}", seat.seat);
                 return Ok(());
             }
-            Ok(Told::No(no)) => why.push(format!("decider {seat}: {no}")),
-            Ok(_) => why.push(format!("decider {seat} answered another question")),
-            Err(e) => why.push(format!("decider {seat}: {e}")),
+            Ok(Told::No(no)) => why.push(format!("decider {other}: {no}")),
+            Ok(_) => why.push(format!("decider {other} answered another question")),
+            Err(e) => why.push(format!("decider {other}: {e}")),
         }
     }
     Err((NO, why.join("; ")))
--- a/src/fleet/gate.rs
+++ b/src/fleet/gate.rs
@@ -6,7 +6,6 @@
 use super::trial::{machine_clock, Trial};
 use crate::{EngineId, Member, MemberState, Settings as ModuleSettings};
 use beamgap_config::Problem;
-use beamgap_council::disk::Files;
 use beamgap_council::{Council, Settings};
 use beamgap_policy::check::{usable, Known};
 use beamgap_policy::document::{Policy, FORM};
@@ -64,6 +63,7 @@
         seed: u64,
         wake: impl Fn() + Send + 'static,
     ) -> io::Result<Gate> {
+        fleet.trial.hold_leash();
         let listener = fleet.listen.map(std::net::TcpListener::bind).transpose()?;
         // A life is told from others by when it began: two processes never begin within the same nanosecond by one name.
         let life = machine_clock().to_bits() ^ u64::from(std::process::id()).rotate_left(48) ^ seed;
@@ -78,7 +78,7 @@
             plants: fleet.trial.plants(),
         };
         let machine = Arc::new(Mutex::new(FleetMachine::new(fleet.times, fleet.trial.plant)));
-        let council = Council::start(settings, listener, Arc::new(Files), machine, wake)?;
+        let council = Council::start(settings, listener, fleet.trial.disk(), machine, wake)?;
         let classes: Vec<String> = module.classes.iter().map(|c| c.name.clone()).collect();
         let accounts = module.tenants.iter().map(|t| t.name.clone()).collect();
         Ok(Gate {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 //! - [`settings`]: the `fleet` block of the operator's file.
 //! - [`machine`]: policy as commands and questions of the council.
 //! - [`gate`]: which requests come in, under which version; what the decision module is offered of the list.
-//! - [`trial`]: clocks and faults that tests set.
+//! - [`trial`], [`trial_disk`]: clocks, faults and a disk that tests set.
 //!
 //! Off without a `fleet` block: no thread, listener, descriptor or file.
 
@@ -11,3 +11,4 @@
 pub mod machine;
 pub mod settings;
 pub mod trial;
+pub mod trial_disk;
--- a/src/fleet/trial.rs
+++ b/src/fleet/trial.rs
@@ -1,6 +1,9 @@
 //! What tests set by the environment variable `BEAMGAP_TRIAL`, and nobody else: a clock that runs apart, a history of
-//! what was admitted, planted faults. Words with commas between: `history`, `rate=1.05`, `offset=5000`, `plant=NAME`.
+//! what was admitted, a disk whose power can be cut, planted faults. Words with commas between: `history`, `rate=1.05`,
+//! `offset=5000`, `jump=2000:5000`, `power`, `leash`, `plant=NAME`.
 
+use super::trial_disk::PowerCut;
+use beamgap_council::disk::{Files, SharedDisk};
 use beamgap_council::{Clock, Plants};
 use beamgap_policy::switch::Plant;
 use rustix::time::{clock_gettime, ClockId};
@@ -13,6 +16,12 @@
     pub rate: f64,
     /// By how many milliseconds it is ahead.
     pub offset: f64,
+    /// The clock leaps at this reading of the machine's, by so many milliseconds.
+    pub jump: Option<(f64, f64)>,
+    /// Whether what was not synced is lost with the process.
+    pub power: bool,
+    /// Whether the process ends when its standard input does.
+    pub leash: bool,
     /// Whether a history is written to standard error.
     pub history: bool,
     /// A fault on purpose.
@@ -21,7 +30,15 @@
 
 impl Default for Trial {
     fn default() -> Trial {
-        Trial { rate: 1.0, offset: 0.0, history: false, plant: Plant::None }
+        Trial {
+            rate: 1.0,
+            offset: 0.0,
+            jump: None,
+            power: false,
+            leash: false,
+            history: false,
+            plant: Plant::None,
+        }
     }
 }
 
@@ -36,11 +53,18 @@
     pub fn read(text: &str) -> Result<Trial, String> {
         let mut trial = Trial::default();
         for word in text.split(',').filter(|word| !word.is_empty()) {
-            let number =
-                |text: &str| text.parse().map_err(|_| format!("BEAMGAP_TRIAL: `{word}` has no number"));
+            let number = |text: &str| {
+                text.parse::<f64>().map_err(|_| format!("BEAMGAP_TRIAL: `{word}` has no number"))
+            };
             match word.split_once('=') {
                 None if word == "history" => trial.history = true,
+                None if word == "power" => trial.power = true,
+                None if word == "leash" => trial.leash = true,
                 Some(("rate", n)) => trial.rate = number(n)?,
+                Some(("jump", text)) => {
+                    let (after, by) = text.split_once(':').unwrap_or((text, ""));
+                    trial.jump = Some((machine_clock() + number(after)?, number(by)?));
+                }
                 Some(("offset", n)) => trial.offset = number(n)?,
                 Some(("plant", name)) => {
                     trial.plant = match name {
@@ -66,7 +90,8 @@
 
     /// A reading of the machine's clock as this member takes it.
     pub fn taken(&self, machine: f64) -> f64 {
-        machine * self.rate + self.offset
+        let leap = self.jump.filter(|(at, _)| machine >= *at).map_or(0.0, |(_, by)| by);
+        machine * self.rate + self.offset + leap
     }
 
     /// The member's clock.
@@ -75,6 +100,25 @@
         Arc::new(move || trial.taken(machine_clock()))
     }
 
+    /// The decider's disk.
+    pub fn disk(&self) -> SharedDisk {
+        if self.power {
+            Arc::new(PowerCut)
+        } else {
+            Arc::new(Files)
+        }
+    }
+
+    /// Ends the process when whoever started it is gone.
+    pub fn hold_leash(&self) {
+        if self.leash {
+            std::thread::spawn(|| {
+                let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink()); // Its end is what is waited for.
+                std::process::exit(1);
+            });
+        }
+    }
+
     /// The council's part of what is planted.
     pub fn plants(&self) -> Plants {
         Plants {
--- a/tests/fleet_cases.rs
+++ b/tests/fleet_cases.rs
@@ -210,6 +210,76 @@
     all_good(w, 1);
 }
 
+#[test]
+fn promise_5_a_decider_whose_fsync_fails_stands_aside_and_comes_back_by_itself() {
+    let w = world("fsync", Options::default());
+    let leader = w.leader().expect("somebody leads");
+    w.fail_fsync(leader, true).unwrap();
+    assert_eq!(propose(&w, 0), (0, Some(1)), "the others decide");
+    w.wait("it stands aside", SOON, |w| {
+        let status = w.status();
+        let of = |d: &&serde_json::Value| d["seat"] == leader as u64 + 1;
+        let all = status["deciders"].as_array().cloned().unwrap_or_default();
+        all.iter().find(of).is_some_and(|d| d["disk_ok"] == false && d["role"] == "broken")
+    })
+    .unwrap();
+    w.all_admit(1, SOON).expect("it serves all the while: others decide for it");
+    w.fail_fsync(leader, false).unwrap();
+    let votes = |w: &World| {
+        let status = w.status();
+        status["deciders"]
+            .as_array()
+            .is_some_and(|all| all.len() == 3 && all.iter().all(|d| d["disk_ok"] == true))
+    };
+    w.wait("it is back", SOON, votes).unwrap();
+    assert_eq!(propose(&w, 1), (0, Some(2)));
+    all_good(w, 2);
+}
+
+#[test]
+fn promise_4_deciders_are_taken_out_and_in_again_one_at_a_time() {
+    let mut w = world("seats", Options::default());
+    let leader = w.leader().expect("somebody leads");
+    let other = (leader + 1) % 3;
+    let seat = |m: usize| (m + 1).to_string();
+    let voters = |w: &World| {
+        let status = w.status();
+        let of = |d: &&serde_json::Value| d["role"] == "leader";
+        let all = status["deciders"].as_array().cloned().unwrap_or_default();
+        all.iter().find(of).and_then(|d| d["voters"].as_array().map(Vec::len)).unwrap_or(0)
+    };
+    let itself = w.operate(&["fleet", "remove", &seat(leader)]);
+    assert_eq!(itself.status.code(), Some(1), "who leads is not taken out");
+    assert!(w.operate(&["fleet", "remove", &seat(other)]).status.success());
+    assert_eq!(voters(&w), 2);
+    let third = 3 - leader - other;
+    assert_eq!(
+        w.operate(&["fleet", "remove", &seat(third)]).status.code(),
+        Some(1),
+        "one alone would be left"
+    );
+    w.kill(other);
+    assert_eq!(propose(&w, 0), (0, Some(1)), "its vote is not needed any more");
+    w.begin(other).unwrap();
+    assert!(w.operate(&["fleet", "readmit", &seat(other)]).status.success());
+    w.wait("three decide", SOON, |w| voters(w) == 3).unwrap();
+    w.kill(third);
+    assert_eq!(propose(&w, 1), (0, Some(2)), "and its vote counts again");
+    w.begin(third).unwrap();
+    all_good(w, 2);
+}
+
+#[test]
+fn promise_2_a_clock_that_leaps_ends_rights_early_and_never_late() {
+    let trials = ["jump=4000:2500", "", "jump=4500:86400000", "jump=5000:1200", ""];
+    let w = world("leaps", Options { trials: trials.map(str::to_owned).to_vec(), ..Options::default() });
+    for (version, number) in [(1, 0), (2, 1), (3, 2)] {
+        assert_eq!(propose(&w, number), (0, Some(version)));
+        w.all_admit(version, SOON).unwrap();
+    }
+    all_good(w, 3);
+}
+
 #[test]
 fn promise_1_two_operators_at_once_make_one_change() {
     let mut w = world("two-operators", Options::default());
