Leases for fleet-wide tasks: pure machine, guard, record, commands, model and process cases

Work that is to be done once for the whole fleet was done by all or by hand. crates/leases holds what is agreed on (tasks, leases with growing tokens, steps begun and recorded), the leader's part (renewed by the question that members ask anyway) and the member's, which hands out a pass for each act. Tasks stand in the operator's fleet block, act by a POST that carries the token, and are looked after by beamgap task.

--- a/crates/policy/src/switch/hold.rs
+++ b/crates/policy/src/switch/hold.rs
@@ -125,6 +125,13 @@
         })
     }
 
+    /// The next question is wanted at this time already.
+    pub fn hasten(&mut self, at: f64) {
+        if self.out.is_none() {
+            self.due = self.due.min(at);
+        }
+    }
+
     /// There was no answer, or one that helps nobody: ask again soon.
     pub fn no_answer(&mut self, now: f64, round: u64) {
         if round == self.round && self.out.take().is_some() {
--- a/crates/rig/src/checker.rs
+++ b/crates/rig/src/checker.rs
@@ -69,7 +69,7 @@
     }
 }
 
-fn broken<T>(promise: u8, text: String, excerpt: &[&Event]) -> Result<T, Break> {
+pub(crate) fn broken<T>(promise: u8, text: String, excerpt: &[&Event]) -> Result<T, Break> {
     Err(Break { promise, text, excerpt: excerpt.iter().map(|e| (*e).clone()).collect() })
 }
 
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -76,6 +76,48 @@
         /// The version, where it is in force.
         version: Option<u64>,
     },
+    /// A member looked at its clock and is about to act on a step of a task.
+    Look {
+        /// Which member.
+        member: String,
+        /// Which task.
+        task: String,
+        /// Under which token.
+        token: u64,
+    },
+    /// A target began a step.
+    Began {
+        /// Of which task.
+        task: String,
+        /// Of which run.
+        run: u64,
+        /// Which step.
+        step: u64,
+        /// With which token.
+        token: u64,
+    },
+    /// A target ended a step.
+    Ended {
+        /// Of which task.
+        task: String,
+        /// Of which run.
+        run: u64,
+        /// Which step.
+        step: u64,
+        /// With which token.
+        token: u64,
+    },
+    /// A target refused a step, as it had seen a newer token.
+    Stale {
+        /// Of which task.
+        task: String,
+        /// Of which run.
+        run: u64,
+        /// Which step.
+        step: u64,
+        /// With which token.
+        token: u64,
+    },
     /// A fault was put in or taken away.
     Fault(String),
 }
@@ -112,6 +154,10 @@
         let what = match kind {
             "admit" => What::Admit { member, id, class, version },
             "refuse" => What::Refuse { member, id, why: field("why").to_owned() },
+            "look" => {
+                let token = field("token").parse().unwrap_or(0);
+                What::Look { member, task: field("task").to_owned(), token }
+            }
             "use" => What::Use { member, version, hash: field("hash").to_owned() },
             _ => return false,
         };
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,8 +1,11 @@
 //! The fleet rig: real `beamgap` processes on loopback, a relay on every link, stand-in engines and clients, faults from a
 //! seed, and a pure checker that judges what was written down. For tests and for trying out; nothing that serves uses it.
 //!
-//! Start at [`world::World`]; faults are in [`faults`], the judge in [`checker`].
+//! Start at [`world::World`]; faults are in [`faults`], the judge in [`checker`], that of
+//! tasks in [`acts`].
 
+pub mod acts;
+pub mod case;
 pub mod checker;
 pub mod client;
 pub mod engine;
@@ -10,6 +13,7 @@
 pub mod history;
 pub mod process;
 pub mod relay;
+pub mod target;
 pub mod world;
 
 use rustix::time::{clock_gettime, ClockId};
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -125,7 +125,7 @@
         self.child.as_ref().map(Child::id)
     }
 
-    /// Seconds of processor time that it has used, and its resident memory in KiB.
+    /// Seconds of processor time that it has used, and its resident memory in KiB, pages of the program not counted.
     pub fn used(&self) -> Option<(f64, u64)> {
         let id = self.id()?;
         // The scheduler's own count, in nanoseconds: `stat` counts in hundredths of a second.
@@ -136,7 +136,7 @@
         let tasks = std::fs::read_dir(format!("/proc/{id}/task")).ok()?.flatten();
         let nanoseconds: f64 = tasks.filter_map(ran).sum();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-        let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let rss = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
         Some((nanoseconds / 1e9, rss.split_whitespace().next()?.parse().ok()?))
     }
 
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Asks it to end in its own time.
+    pub fn drain(&self) {
+        self.signal(Signal::TERM);
+    }
+
     /// Has it stand still.
     pub fn stop(&self) {
         self.signal(Signal::STOP);
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -1,5 +1,6 @@
 //! A fleet of real processes with everything round it: relays on all links, engines, clients, an operator.
 
+use crate::acts::{judge_acts, Acts, TaskLaw};
 use crate::checker::{judge, Break, Law, Summary, Version};
 use crate::client::Client;
 use crate::engine::Engine;
@@ -8,6 +9,7 @@
 use crate::now;
 use crate::process::Process;
 use crate::relay::{Relay, Way};
+use crate::target::Target;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
@@ -43,6 +45,8 @@
     pub history: bool,
     /// A member whose configuration has another name for the second class.
     pub odd: Option<usize>,
+    /// `task` blocks of the operator's file; `TARGET` stands for where the target listens.
+    pub tasks: String,
     /// Another program, which all members but the first run.
     pub older: Option<PathBuf>,
 }
@@ -60,6 +64,7 @@
             fleet: true,
             history: true,
             odd: None,
+            tasks: String::new(),
             older: std::env::var_os("RIG_OLDER").map(PathBuf::from),
         }
     }
@@ -84,6 +89,8 @@
     pub clients: Vec<Client>,
     /// Its engines.
     pub engines: Vec<Engine>,
+    /// What its tasks act on.
+    pub target: Target,
     /// The fleet's name, unlike that of any other world.
     pub name: String,
     binary: PathBuf,
@@ -131,8 +138,10 @@
                 relays.insert((from, seat), Relay::start().map_err(failed)?);
             }
         }
+        let target = Target::start(history.clone())?;
         let mut world = World {
             members: Vec::new(),
+            target,
             history,
             clients: Vec::new(),
             engines,
@@ -148,8 +157,10 @@
             let process = world.write(me).map_err(failed)?;
             world.members.push(process);
         }
-        std::fs::write(world.folder.join("operator.hcl"), world.block(world.options.members))
-            .map_err(failed)?;
+        let block = world.block(world.options.members);
+        let tasks = world.options.tasks.replace("TARGET", &format!("http://{}", world.target.address));
+        let block = format!("{}{tasks}}}\n", block.trim_end().trim_end_matches('}'));
+        std::fs::write(world.folder.join("operator.hcl"), block).map_err(failed)?;
         for (number, text) in POLICIES.iter().enumerate() {
             std::fs::write(world.policy(number), text).map_err(failed)?;
         }
@@ -526,6 +537,31 @@
         })
     }
 
+    /// A task as the fleet tells it, as JSON.
+    pub fn task(&self, name: &str) -> serde_json::Value {
+        let output = self.operate(&["task", "show", name, "--json"]);
+        serde_json::from_slice(&output.stdout).unwrap_or_default()
+    }
+
+    /// Judges what was acted on for these tasks, by the record that the fleet keeps of them.
+    pub fn judge_tasks(&self, names: &[&str], repeatable: &[&str]) -> Result<Acts, String> {
+        let mut law = TaskLaw::default();
+        law.repeatable.extend(repeatable.iter().map(|name| (*name).to_owned()));
+        for name in names {
+            let task = self.task(name);
+            for step in task["record"].as_array().ok_or(format!("{name} is not told: {task}"))? {
+                let number = |key: &str| step[key].as_u64().unwrap_or_default();
+                let key = ((*name).to_owned(), number("run"), number("step"));
+                match step["outcome"].as_str() {
+                    Some("done") => law.done.insert(key),
+                    Some("unknown") => law.unknown.insert(key),
+                    _ => false,
+                };
+            }
+        }
+        judge_acts(&self.history.all(), &law).map_err(|b: Break| b.to_string())
+    }
+
     /// Served, and sent, by all clients.
     pub fn counts(&self) -> (u64, u64) {
         let sum = |of: fn(&crate::client::Tally) -> &std::sync::atomic::AtomicU64| {
@@ -594,6 +630,7 @@
         self.members.iter_mut().for_each(Process::kill);
         self.relays.values().for_each(Relay::stop);
         self.engines.iter().for_each(Engine::stop);
+        self.target.stop();
         if !self.keep {
             let _ = std::fs::remove_dir_all(&self.folder); // It is in the system's temporary folder.
         }
--- a/crates/sim/src/lib.rs
+++ b/crates/sim/src/lib.rs
@@ -4,7 +4,8 @@
 //! answers, broken and cut connections, engines that die. It is a model beside the code, not the code: a change of
 //! `src/node/exchange.rs` or `src/node/backend/warehouse.rs` that touches these steps is to be made here too.
 //!
-//! [`switch`] is how a change of policy takes hold; there the program's own parts act.
+//! [`switch`] is how a change of policy takes hold, [`leases`] how one holder at most acts; there the program's own parts act.
 
 pub mod attempts;
+pub mod leases;
 pub mod switch;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -36,6 +36,9 @@
     /// A fleet's members and deciders.
     #[command(subcommand)]
     Fleet(Fleet),
+    /// Tasks of a whole fleet, each done by one front end at a time.
+    #[command(subcommand)]
+    Task(Task),
 }
 
 /// Whom to ask.
@@ -156,6 +159,37 @@
     Remove(Seat),
 }
 
+/// Tasks of the whole fleet.
+#[derive(Debug, Subcommand)]
+pub enum Task {
+    /// Have the tasks of the operator's file be those of the fleet.
+    Apply(Ask),
+    /// All tasks: holder, token, time left, run, why one does not run.
+    List(Ask),
+    /// One task, with what was done of it.
+    Show(Named),
+    /// The same.
+    History(Named),
+    /// Begin a run.
+    Run(Named),
+    /// Begin no further step.
+    Pause(Named),
+    /// Go on after a pause or a halt.
+    Resume(Named),
+    /// Have its lease not be renewed: another member may hold it then.
+    Release(Named),
+}
+
+/// Which task.
+#[derive(Debug, Args)]
+pub struct Named {
+    /// Its name.
+    pub name: String,
+    /// Whom to ask.
+    #[command(flatten)]
+    pub ask: Ask,
+}
+
 /// Which decider.
 #[derive(Debug, Args)]
 pub struct Seat {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fleet;
 pub mod policy;
+pub mod task;
 
 use beamgap::fleet::machine::{decode, encode, Answer, Question};
 use beamgap::fleet::settings::{self, Fleet};
--- a/src/fleet/gate.rs
+++ b/src/fleet/gate.rs
@@ -3,6 +3,7 @@
 
 use super::machine::{decode, encode, Answer, FleetMachine, Question};
 use super::settings::Fleet;
+use super::tasks::Keeper;
 use super::trial::{machine_clock, Trial};
 use crate::{EngineId, Member, MemberState, Settings as ModuleSettings};
 use beamgap_config::Problem;
@@ -20,6 +21,8 @@
 
 const NO_RIGHT_BACKOFF: f64 = 500.0; // ms; a new leader is there within a second or two
 const RULE_BACKOFF: f64 = 1000.0; // ms; policies stand for long
+const PLAIN: f64 = 5000.0; // ms; an older leader may be replaced by then
+const HURRY: f64 = 30.0; // ms between questions while a step of a task waits for the council
 const FILE: &str = "policy"; // what stands for the file's name where members check a text
 
 /// What an admitted request lives under.
@@ -41,6 +44,11 @@
     classes: Vec<String>,
     ruling: Rc<Ruling>,
     meter: Meter,
+    tasks: Keeper,
+    /// The question that is out: its round, and when it was asked.
+    asked: (u64, f64),
+    /// Until then only the policy is asked for: the leader runs an older program, which knows no tasks.
+    plain_until: f64,
     trial: Trial,
     /// The list as it was told, to offer it anew when the policy changes.
     listed: BTreeMap<EngineId, Member>,
@@ -61,7 +69,7 @@
         module: &ModuleSettings,
         zones: &[String],
         seed: u64,
-        wake: impl Fn() + Send + 'static,
+        wake: impl Fn() + Send + Sync + 'static,
     ) -> io::Result<Gate> {
         fleet.trial.hold_leash();
         let listener = fleet.listen.map(std::net::TcpListener::bind).transpose()?;
@@ -77,8 +85,12 @@
             clock: fleet.trial.clock(),
             plants: fleet.trial.plants(),
         };
+        let wake: Arc<dyn Fn() + Send + Sync> = Arc::new(wake);
+        let woken = wake.clone();
+        let zone = zones.first().map(String::as_str).unwrap_or_default();
+        let tasks = Keeper::new(&fleet.member, life, zone, fleet.trial, wake);
         let machine = Arc::new(Mutex::new(FleetMachine::new(fleet.times, fleet.trial.plant)));
-        let council = Council::start(settings, listener, fleet.trial.disk(), machine, wake)?;
+        let council = Council::start(settings, listener, fleet.trial.disk(), machine, move || woken())?;
         let classes: Vec<String> = module.classes.iter().map(|c| c.name.clone()).collect();
         let accounts = module.tenants.iter().map(|t| t.name.clone()).collect();
         Ok(Gate {
@@ -88,6 +100,9 @@
             ruling: Rc::new(Ruling::new(Policy::default(), &classes)),
             classes,
             meter: Meter::default(),
+            tasks,
+            asked: (0, 0.0),
+            plain_until: f64::NEG_INFINITY,
             trial: fleet.trial,
             listed: BTreeMap::new(),
             turn: 0.0,
@@ -96,6 +111,11 @@
         })
     }
 
+    /// The front end is about to end: it gives up what it holds of the fleet's tasks.
+    pub fn drain(&mut self) {
+        self.tasks.drain();
+    }
+
     /// Where this decider listens for other members.
     pub fn address(&self) -> Option<SocketAddr> {
         self.council.address()
@@ -166,7 +186,8 @@
     }
 
     /// What the council has answered, and what is to be asked: changes for the module's list, and lines for the log.
-    pub fn turn(&mut self) -> (Vec<Member>, Vec<String>) {
+    /// `open` requests are open at this front end.
+    pub fn turn(&mut self, open: usize) -> (Vec<Member>, Vec<String>) {
         let (mut changed, mut lines) = (Vec::new(), Vec::new());
         self.turn = self.now();
         let answers: Vec<_> = self.council.answers().collect();
@@ -178,15 +199,36 @@
                         self.act(act, &mut changed, &mut lines);
                     }
                 }
+                Some(Answer::Both(reply, leases)) => {
+                    if round == self.asked.0 {
+                        self.tasks.reply(self.asked.1, leases);
+                    }
+                    for act in self.hold.reply(now, reply) {
+                        self.act(act, &mut changed, &mut lines);
+                    }
+                }
+                Some(Answer::Unreadable) => {
+                    self.plain_until = now + PLAIN;
+                    self.hold.no_answer(now, round);
+                }
                 _ => self.hold.no_answer(now, round),
             }
         }
         let now = self.now();
+        self.tasks.work(now);
+        if self.tasks.hurries(now) {
+            self.hold.hasten(self.asked.1 + HURRY);
+        }
         let due = self.hold.due() <= now;
         let note = || format!("admitted={} refused={}", self.counts.0, self.counts.1);
         if let Some(ask) = due.then(note).and_then(|note| self.hold.ask(now, &note)) {
             let round = ask.round;
-            if !self.council.ask(round, encode(&Question::Renew(ask))) {
+            self.asked = (round, now);
+            let question = match now < self.plain_until {
+                true => Question::Renew(ask),
+                false => Question::Both(ask, self.tasks.ask(), self.tasks.wants(now, open)),
+            };
+            if !self.council.ask(round, encode(&question)) {
                 self.hold.no_answer(now, round);
             }
         }
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -1,10 +1,14 @@
-//! Policy as commands and questions of the council.
+//! Policy and tasks as commands and questions of the council.
 
 use beamgap_council::Machine;
+use beamgap_leases::lead::{self, Lead as LeaseLead};
+use beamgap_leases::state::{Command as TaskCommand, State as Tasks, Task};
+use beamgap_leases::{Clocks, Plant as LeasePlant, Token};
 use beamgap_policy::switch::lead::Lead;
 use beamgap_policy::switch::state::{Change, Command, Outcome, Record, State};
 use beamgap_policy::switch::{Ask, Mark, Plant, Reply, Times, Version};
 use serde::{Deserialize, Serialize};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// What is asked of the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -23,6 +27,14 @@
     History,
     /// The text of a version; of the one in force if none is named.
     Text(Option<Version>),
+    /// A member renews its right and all its leases, and has these commands agreed on.
+    Both(Ask, lead::Ask, Vec<TaskCommand>),
+    /// An operator has something agreed on of a task.
+    Task(TaskCommand),
+    /// An operator has a task's lease not be renewed any more.
+    Release(String),
+    /// How tasks stand: all, without their records, or one with it.
+    Tasks(Option<String>),
 }
 
 /// What the leader answers.
@@ -42,6 +54,10 @@
     Text(Option<(Version, String)>),
     /// The question can't be read: it comes from another program.
     Unreadable,
+    /// To a renewal of both.
+    Both(Reply, lead::Reply),
+    /// Tasks, with the milliseconds since each one's lease was renewed.
+    Tasks(Vec<(Task, Option<f64>)>),
 }
 
 /// How the fleet is, as its leader sees it.
@@ -87,18 +103,57 @@
     postcard::from_bytes(bytes).ok()
 }
 
-/// The policy, as the council's machine.
+/// What a task's command begins with in the log: no command of the policy does.
+const TASK: u8 = 0xff;
+
+fn of_task(command: &TaskCommand) -> Vec<u8> {
+    [vec![TASK], encode(command)].concat()
+}
+
+/// The policy and the tasks, as the council's machine.
 #[derive(Debug)]
 pub struct FleetMachine {
     state: State,
     lead: Lead,
     times: Times,
+    tasks: Tasks,
+    leases: LeaseLead,
 }
 
 impl FleetMachine {
     /// One with nothing agreed on yet; `times` are those that a fleet is founded with.
     pub fn new(times: Times, plant: Plant) -> FleetMachine {
-        FleetMachine { state: State::default(), lead: Lead::planted(plant), times }
+        let clocks = Clocks { drift: times.drift, ..Clocks::default() };
+        let leases = LeaseLead::new(clocks, LeasePlant::None);
+        let lead = Lead::planted(plant);
+        FleetMachine { state: State::default(), lead, times, tasks: Tasks::default(), leases }
+    }
+
+    /// What a member may have agreed on: of leases that are its own.
+    fn own(&self, ask: &lead::Ask, command: &TaskCommand) -> bool {
+        let holds = |task: &str, token: Token| {
+            let lease = self.tasks.tasks.get(task).and_then(|task| task.lease.as_ref());
+            lease.is_some_and(|lease| lease.token == token && lease.who == ask.who)
+        };
+        match command {
+            TaskCommand::Begin { task, token, .. }
+            | TaskCommand::Record { task, token, .. }
+            | TaskCommand::End { task, token } => holds(task, *token),
+            _ => false,
+        }
+    }
+
+    fn told(&self, now: f64, one: Option<&str>) -> Vec<(Task, Option<f64>)> {
+        let renewed = |task: &Task| task.lease.as_ref().and_then(|l| self.leases.renewed_ago(now, l.token));
+        let all = self.tasks.tasks.values().filter(|task| one.is_none_or(|name| name == task.spec.name));
+        let shown = |task: &Task| {
+            let mut shown = task.clone();
+            if one.is_none() {
+                shown.record.clear();
+            }
+            (shown, renewed(task))
+        };
+        all.map(shown).collect()
     }
 
     fn status(&self, now: f64) -> Status {
@@ -129,10 +184,19 @@
 
 impl Machine for FleetMachine {
     fn blank(&mut self) {
-        self.state = State::default();
+        (self.state, self.tasks) = (State::default(), Tasks::default());
     }
 
     fn apply(&mut self, command: &[u8]) {
+        if let Some(rest) = command.strip_prefix(&[TASK]) {
+            match decode::<TaskCommand>(rest) {
+                Some(command) => self.tasks.apply(&command),
+                None => {
+                    tracing::error!(target: "fleet", "a task's command can't be read: update this program")
+                }
+            }
+            return;
+        }
         match decode::<Command>(command) {
             Some(command) => self.state.apply(&command),
             // A younger program's command: this one can't follow, and says so rather than guess.
@@ -141,26 +205,56 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        encode(&self.state)
+        // An older program reads the policy, and leaves what follows.
+        [encode(&self.state), encode(&self.tasks)].concat()
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), String> {
-        self.state = decode(snapshot).ok_or("a snapshot of another form: update this program")?;
+        let form = "a snapshot of another form: update this program";
+        let (state, rest) = postcard::take_from_bytes(snapshot).map_err(|_| form)?;
+        let tasks = if rest.is_empty() { Tasks::default() } else { decode(rest).ok_or(form)? };
+        (self.state, self.tasks) = (state, tasks);
         Ok(())
     }
 
     fn role(&mut self, now: f64, leads: bool) {
         self.lead.role(now, leads);
+        self.leases.role(now, leads);
     }
 
     fn answer(&mut self, now: f64, question: &[u8]) -> (Vec<u8>, Vec<Vec<u8>>) {
         let mut commands = Vec::new();
+        let mut more: Vec<TaskCommand> = Vec::new();
         let answer = match decode::<Question>(question) {
             Some(Question::Renew(ask)) => {
                 let (reply, more) = self.lead.answer(now, &self.state, &ask);
                 commands = more;
                 Answer::Renewed(reply)
             }
+            Some(Question::Both(ask, lease, wants)) => {
+                let (reply, changes) = self.lead.answer(now, &self.state, &ask);
+                commands = changes;
+                more.extend(wants.into_iter().filter(|want| self.own(&lease, want)));
+                // Only members hold leases: who is none yet is told so by the policy's answer.
+                let joined =
+                    lease.who == (ask.member, ask.life) && self.state.members.contains_key(&lease.who);
+                let told = if joined {
+                    self.leases.answer(now, &self.tasks, &lease)
+                } else {
+                    lead::Reply::default()
+                };
+                Answer::Both(reply, told)
+            }
+            Some(Question::Task(command)) => {
+                more.push(command);
+                Answer::Taken
+            }
+            Some(Question::Release(task)) => {
+                let lease = self.tasks.tasks.get(&task).and_then(|task| task.lease.as_ref());
+                lease.into_iter().for_each(|lease| self.leases.release(now, lease.token));
+                Answer::Taken
+            }
+            Some(Question::Tasks(one)) => Answer::Tasks(self.told(now, one.as_deref())),
             Some(Question::Propose(change)) => {
                 commands.push(Command::Propose(change));
                 Answer::Taken
@@ -181,13 +275,17 @@
             }
             None => Answer::Unreadable,
         };
-        (encode(&answer), commands.iter().map(encode).collect())
+        (encode(&answer), commands.iter().map(encode).chain(more.iter().map(of_task)).collect())
     }
 
     fn tick(&mut self, now: f64) -> Vec<Vec<u8>> {
         if self.state.times.is_none() {
             return vec![encode(&Command::Found(self.times))];
         }
-        self.lead.tick(now, &self.state).iter().map(encode).collect()
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).ok();
+        let minute = since_1970.map(|time| time.as_secs() / 60);
+        let policy = self.lead.tick(now, &self.state);
+        let tasks = self.leases.tick(now, minute, &self.tasks);
+        policy.iter().map(encode).chain(tasks.iter().map(of_task)).collect()
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! - [`settings`]: the `fleet` block of the operator's file.
 //! - [`machine`]: policy as commands and questions of the council.
 //! - [`gate`]: which requests come in, under which version; what the decision module is offered of the list.
+//! - [`tasks`]: leases for tasks of the whole fleet, and what is acted on.
 //! - [`trial`], [`trial_disk`]: clocks, faults and a disk that tests set.
 //!
 //! Off without a `fleet` block: no thread, listener, descriptor or file.
@@ -10,5 +11,6 @@
 pub mod gate;
 pub mod machine;
 pub mod settings;
+pub mod tasks;
 pub mod trial;
 pub mod trial_disk;
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -1,10 +1,12 @@
 //! The `fleet` block: which fleet, who decides, where, and the fleet's figures of time.
 
+use super::tasks::read as tasks;
 use super::trial::Trial;
 use crate::node::config::ConfigError;
 use crate::node::json::{self, OwnedValue, ValueAsArray, ValueAsScalar, ValueObjectAccess};
 use beamgap_config::schema::{Block, Key, Shape};
 use beamgap_council::{Seat, SEATS};
+use beamgap_leases::spec::Spec;
 use beamgap_policy::switch::state::good_name;
 use beamgap_policy::switch::Times;
 use std::collections::BTreeMap;
@@ -28,6 +30,8 @@
     pub folder: Option<PathBuf>,
     /// The fleet's figures, used when it is founded.
     pub times: Times,
+    /// The tasks of its file, for `beamgap task apply`.
+    pub tasks: Vec<Spec>,
     /// What a test has set.
     pub trial: Trial,
 }
@@ -58,7 +62,7 @@
             key("drift", "drift", Shape::Share),
             key("plaintext_beyond_loopback", "plaintext_beyond_loopback", Shape::Flag),
         ],
-        blocks: vec![decider],
+        blocks: vec![decider, tasks::schema()],
         ..Block::default()
     }
 }
@@ -158,6 +162,7 @@
         listen,
         folder,
         times,
+        tasks: tasks::read(fleet)?,
         trial,
     })
 }
--- a/src/fleet/trial.rs
+++ b/src/fleet/trial.rs
@@ -1,6 +1,6 @@
 //! What tests set by the environment variable `BEAMGAP_TRIAL`, and nobody else: a clock that runs apart, a history of
 //! what was admitted, a disk whose power can be cut, planted faults. Words with commas between: `history`, `rate=1.05`,
-//! `offset=5000`, `jump=2000:5000`, `power`, `leash`, `plant=NAME`.
+//! `offset=5000`, `jump=2000:5000`, `power`, `leash`, `look=300`, `plant=NAME`.
 
 use super::trial_disk::PowerCut;
 use beamgap_council::disk::{Files, SharedDisk};
@@ -22,6 +22,8 @@
     pub power: bool,
     /// Whether the process ends when its standard input does.
     pub leash: bool,
+    /// How long a task's act waits behind its look at the clock, in milliseconds.
+    pub look: f64,
     /// Whether a history is written to standard error.
     pub history: bool,
     /// A fault on purpose.
@@ -36,6 +38,7 @@
             jump: None,
             power: false,
             leash: false,
+            look: 0.0,
             history: false,
             plant: Plant::None,
         }
@@ -60,6 +63,7 @@
                 None if word == "history" => trial.history = true,
                 None if word == "power" => trial.power = true,
                 None if word == "leash" => trial.leash = true,
+                Some(("look", n)) => trial.look = number(n)?,
                 Some(("rate", n)) => trial.rate = number(n)?,
                 Some(("jump", text)) => {
                     let (after, by) = text.split_once(':').unwrap_or((text, ""));
@@ -109,6 +113,16 @@
         }
     }
 
+    /// Where a process may stand still: behind the look at the clock, before the act.
+    pub fn between_look_and_act(&self, what: &str) {
+        if self.history {
+            eprintln!("history look {what}");
+        }
+        if self.look > 0.0 {
+            std::thread::sleep(std::time::Duration::from_secs_f64(self.look / 1000.0));
+        }
+    }
+
     /// Ends the process when whoever started it is gone.
     pub fn hold_leash(&self) {
         if self.leash {
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
     let cli = Cli::parse();
     let done = match cli.command {
         Some(Command::Policy(policy)) => return commands::ended(commands::policy::run(policy)),
+        Some(Command::Task(task)) => return commands::ended(commands::task::run(task)),
         Some(Command::Fleet(fleet)) => return commands::ended(commands::fleet::run(fleet)),
         None => run::run(cli.run),
         Some(Command::Run(run)) => run::run(run),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -245,6 +245,7 @@
         if self.ending.is_none() {
             let now = self.clock.now();
             self.ending = Some(now);
+            self.gate.iter_mut().for_each(Gate::drain);
             self.log.push(format!("ending: open={}", self.exchange.open_requests()));
             self.deadlines.set(now + SETTLE_MS, Wake::Ending);
         }
@@ -298,7 +299,7 @@
     /// Takes in what the council has answered, and asks it for the right to admit when that is due.
     fn fleet(&mut self) {
         let Some(gate) = &mut self.gate else { return };
-        let (changed, mut lines) = gate.turn();
+        let (changed, mut lines) = gate.turn(self.exchange.open_requests());
         let due = self.clock.now() + gate.due_in();
         self.log.append(&mut lines);
         self.gate_due.take().into_iter().for_each(|before| self.deadlines.clear(before));
