--- a/crates/leases/src/hold.rs
+++ b/crates/leases/src/hold.rs
@@ -3,7 +3,7 @@
 //! All times are of the member's own monotonic clock that counts suspension, in milliseconds.
 
 use crate::lead::{Ask, Reply, Told};
-use crate::state::{Command, Outcome};
+use crate::state::{Command, Outcome, Run};
 use crate::{Plant, Token, Who};
 use std::collections::BTreeMap;
 use std::fmt;
@@ -139,6 +139,12 @@
     plant: Plant,
 }
 
+/// Whether the step stands begun in the record, and no pass was given for it.
+fn may_act(plant: Plant, held: &Held, run: &Run) -> bool {
+    let begun = run.open == Some(held.told.token) || (plant == Plant::ActFirst && run.open.is_none());
+    begun && held.passed != Some(run.next)
+}
+
 const AGAIN: f64 = 300.0; // ms; a command may have been lost
 
 impl Holder {
@@ -268,12 +274,12 @@
                 Err(No::NotWanted)
             };
         };
-        let begun = run.open == Some(token) || (self.plant == Plant::ActFirst && run.open.is_none());
-        if !begun || held.passed == Some(run.next) {
+        let next = run.next;
+        if !may_act(self.plant, held, run) {
             return Err(No::NotBegun);
         }
-        held.passed = Some(run.next);
-        Ok(Pass { task: task.to_owned(), token, step: Some(run.next), until })
+        held.passed = Some(next);
+        Ok(Pass { task: task.to_owned(), token, step: Some(next), until })
     }
 
     /// A begun step that is not acted on, as there is no leave: that it never ran is owed to the record.
@@ -299,12 +305,7 @@
 
     /// Steps that stand begun in the record and were not acted on yet: the task, and the longest time of the step.
     pub fn begun(&self) -> Vec<(String, f64)> {
-        let ready = |held: &&Held| {
-            held.told
-                .run
-                .as_ref()
-                .is_some_and(|run| run.open == Some(held.told.token) && held.passed != Some(run.next))
-        };
+        let ready = |held: &&Held| held.told.run.as_ref().is_some_and(|run| may_act(self.plant, held, run));
         self.held.values().filter(ready).map(|held| (held.told.task.clone(), held.told.step)).collect()
     }
 
--- a/crates/leases/src/state.rs
+++ b/crates/leases/src/state.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Steps of a task that are kept in the record.
-pub const RECORD_MOST: usize = 64;
+pub const RECORD_MOST: usize = 128;
 const WHY_MOST: usize = 200; // bytes of a reason that are kept
 
 /// What became of a step.
--- a/crates/rig/src/checker.rs
+++ b/crates/rig/src/checker.rs
@@ -45,6 +45,8 @@
     pub overlap: f64,
     /// The longest time in which nothing was admitted anywhere, from the first to the last admission.
     pub gap: f64,
+    /// What the fleet's tasks came to.
+    pub acts: crate::acts::Acts,
 }
 
 /// A promise that was broken.
--- a/crates/rig/src/target.rs
+++ b/crates/rig/src/target.rs
@@ -30,6 +30,8 @@
         let address = server.server_addr().to_ip().ok_or("no address")?;
         let takes = Arc::new(AtomicU64::new(20));
         let target = Target { address, blind: Arc::default(), takes, server, seen: Arc::default() };
+        // For a fault on purpose: a target that looks at no token.
+        target.blind.store(std::env::var_os("RIG_BLIND").is_some(), Relaxed);
         let of = target.clone();
         std::thread::spawn(move || {
             for request in of.server.incoming_requests() {
--- a/src/commands/task.rs
+++ b/src/commands/task.rs
@@ -49,7 +49,9 @@
 
 fn named(asker: &mut Asker, name: &str) -> Result<Told, End> {
     let all = tasks(asker, Some(name))?;
-    all.into_iter().next().ok_or_else(|| (NO, format!("task {name} is not known; `beamgap task list` names all")))
+    all.into_iter()
+        .next()
+        .ok_or_else(|| (NO, format!("task {name} is not known; `beamgap task list` names all")))
 }
 
 /// Asks until a task is as it was to become, and says so.
@@ -99,7 +101,9 @@
         let _ = asker.ask(&Question::Task(Command::Define(specs.clone())), STEP);
         asker.sleep(60);
         let known = tasks(&mut asker, None).unwrap_or_default();
-        let same = |spec: &beamgap_leases::spec::Spec| known.iter().any(|(task, _)| task.spec == *spec && !task.gone);
+        let same = |spec: &beamgap_leases::spec::Spec| {
+            known.iter().any(|(task, _)| task.spec == *spec && !task.gone)
+        };
         if known.iter().filter(|(task, _)| !task.gone).count() == specs.len() && specs.iter().all(same) {
             println!("{} tasks are known to the fleet", specs.len());
             return Ok(());
--- a/src/fleet/gate.rs
+++ b/src/fleet/gate.rs
@@ -89,7 +89,8 @@
         let woken = wake.clone();
         let zone = zones.first().map(String::as_str).unwrap_or_default();
         let tasks = Keeper::new(&fleet.member, life, zone, fleet.trial, wake);
-        let machine = Arc::new(Mutex::new(FleetMachine::new(fleet.times, fleet.trial.plant)));
+        let machine =
+            Arc::new(Mutex::new(FleetMachine::new(fleet.times, fleet.trial.plant, fleet.trial.leases)));
         let council = Council::start(settings, listener, fleet.trial.disk(), machine, move || woken())?;
         let classes: Vec<String> = module.classes.iter().map(|c| c.name.clone()).collect();
         let accounts = module.tenants.iter().map(|t| t.name.clone()).collect();
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -122,9 +122,9 @@
 
 impl FleetMachine {
     /// One with nothing agreed on yet; `times` are those that a fleet is founded with.
-    pub fn new(times: Times, plant: Plant) -> FleetMachine {
+    pub fn new(times: Times, plant: Plant, leases: LeasePlant) -> FleetMachine {
         let clocks = Clocks { drift: times.drift, ..Clocks::default() };
-        let leases = LeaseLead::new(clocks, LeasePlant::None);
+        let leases = LeaseLead::new(clocks, leases);
         let lead = Lead::planted(plant);
         FleetMachine { state: State::default(), lead, times, tasks: Tasks::default(), leases }
     }
--- a/src/fleet/tasks/call.rs
+++ b/src/fleet/tasks/call.rs
@@ -59,7 +59,12 @@
                         "t={:.3} task={task} step={step} token={token}",
                         machine_clock()
                     ));
-                    let outcome = post(&work, takes, &json!({"task": task, "run": run, "step": step, "token": token}), token);
+                    let outcome = post(
+                        &work,
+                        takes,
+                        &json!({"task": task, "run": run, "step": step, "token": token}),
+                        token,
+                    );
                     acted.over(outcome)
                 }
             };
--- a/src/fleet/tasks/mod.rs
+++ b/src/fleet/tasks/mod.rs
@@ -11,7 +11,6 @@
 use beamgap_leases::hold::{Holder, No};
 use beamgap_leases::lead::{Ask, Reply};
 use beamgap_leases::state::{Command, Outcome};
-use beamgap_leases::Plant;
 use call::Runner;
 use std::sync::Arc;
 
@@ -34,7 +33,7 @@
         wake: Arc<dyn Fn() + Send + Sync>,
     ) -> Keeper {
         let clock: Clock = trial.clock();
-        let holder = Holder::new((member.to_owned(), life), zone, Plant::None);
+        let holder = Holder::new((member.to_owned(), life), zone, trial.leases);
         Keeper { holder, runner: Runner::new(clock, trial, wake) }
     }
 
--- a/src/fleet/trial.rs
+++ b/src/fleet/trial.rs
@@ -5,6 +5,7 @@
 use super::trial_disk::PowerCut;
 use beamgap_council::disk::{Files, SharedDisk};
 use beamgap_council::{Clock, Plants};
+use beamgap_leases::Plant as LeasePlant;
 use beamgap_policy::switch::Plant;
 use rustix::time::{clock_gettime, ClockId};
 use std::sync::Arc;
@@ -28,6 +29,8 @@
     pub history: bool,
     /// A fault on purpose.
     pub plant: Plant,
+    /// One in the leases.
+    pub leases: LeasePlant,
 }
 
 impl Default for Trial {
@@ -41,6 +44,7 @@
             look: 0.0,
             history: false,
             plant: Plant::None,
+            leases: LeasePlant::None,
         }
     }
 }
@@ -70,6 +74,9 @@
                     trial.jump = Some((machine_clock() + number(after)?, number(by)?));
                 }
                 Some(("offset", n)) => trial.offset = number(n)?,
+                Some(("plant", "no-margin")) => trial.leases = LeasePlant::NoMargin,
+                Some(("plant", "no-lease-wait")) => trial.leases = LeasePlant::NoWait,
+                Some(("plant", "act-first")) => trial.leases = LeasePlant::ActFirst,
                 Some(("plant", name)) => {
                     trial.plant = match name {
                         "early-activation" => Plant::EarlyActivation,
