Leases: a holder that gives up stops at once; new leaders hear of all before they grant

Tests of 300 members on a set clock found that a holder which drained counted as holding after its end was agreed on, so two held one lease; that a new leader gave 1,000 leases to 35 of 300 members; and that a lease its holder had not heard of was ended and granted in a circle. All three are mended; the model has drains and that fault planted. A policy can forbid a task.

--- a/crates/leases/src/hold.rs
+++ b/crates/leases/src/hold.rs
@@ -118,6 +118,8 @@
 struct Held {
     told: Told,
     until: f64,
+    /// It was given up: whoever holds it next may act as soon as that is agreed on, so nothing is done under it any more.
+    given_up: bool,
     /// The step that a pass was given for, so that there is one for each begun step.
     passed: Option<u32>,
     /// What was asked to be agreed on, and when.
@@ -181,10 +183,14 @@
             let mut before = std::mem::take(&mut self.held);
             for told in list {
                 let old = before.remove(&told.task).filter(|held| held.told.token == told.token);
-                let (until, passed, rest) =
-                    old.map_or((f64::NEG_INFINITY, None, None), |held| (held.until, held.passed, held.rest));
                 // Something has changed since it was asked for: it may be asked for anew.
-                let held = Held { told, until, passed, asked: None, rest };
+                let held = match old {
+                    Some(old) => Held { told, asked: None, ..old },
+                    None => {
+                        let until = f64::NEG_INFINITY;
+                        Held { told, until, given_up: false, passed: None, asked: None, rest: None }
+                    }
+                };
                 self.held.insert(held.told.task.clone(), held);
             }
             self.known = Some(reply.known);
@@ -192,7 +198,7 @@
             return; // It is not of the list that is known here.
         }
         for held in self.held.values_mut() {
-            if reply.ending.contains(&held.told.token) {
+            if held.given_up || reply.ending.contains(&held.told.token) {
                 continue;
             }
             let length = held.told.length;
@@ -231,15 +237,20 @@
         let mut by_rank: Vec<&mut Held> = self.held.values_mut().collect();
         by_rank.sort_by_key(|held| std::cmp::Reverse(held.told.priority));
         for held in by_rank {
-            if held.asked.is_some_and(|at| now - at < AGAIN) || now >= held.until {
+            if held.asked.is_some_and(|at| now - at < AGAIN) || (now >= held.until && !held.given_up) {
                 continue;
             }
             let (task, token) = (held.told.task.clone(), held.told.token);
             let run = held.told.run.as_ref();
             let acting = run.is_some_and(|run| run.open.is_some());
             let command = match run {
-                _ if acting => None,
-                _ if self.drains || !held.told.wanted => Some(Command::End { task, token }),
+                _ if acting && !held.given_up => None,
+                _ if held.given_up || self.drains || !held.told.wanted => {
+                    if self.plant != Plant::HoldsOn {
+                        (held.given_up, held.until) = (true, f64::NEG_INFINITY);
+                    }
+                    Some(Command::End { task, token })
+                }
                 Some(run) if !busy && now + held.told.step < held.until => {
                     let (step, pause) = (run.next, held.told.pause);
                     if pause > 0.0 && held.rest.is_none_or(|(of, _)| of != run.tried) {
--- a/crates/leases/src/lead.rs
+++ b/crates/leases/src/lead.rs
@@ -11,7 +11,9 @@
 
 /// A member that has been heard of for less than this gets a lease only where no other fits, in milliseconds.
 pub const CALM: f64 = 5000.0;
-const LATELY: f64 = 2500.0; // ms; three questions that did not come
+const LATELY: f64 = 1700.0; // ms; two questions that did not come
+const GATHER: f64 = 1000.0; // ms in which a new leader hears of all members, before it grants
+const UNTOLD: f64 = 1000.0; // ms; a lease of which nobody was told may end at any time
 const AGAIN: f64 = 300.0; // ms; what was asked to be agreed on may have been lost
 const HELD_MOST: usize = 1024; // leases told in one answer
 
@@ -79,7 +81,10 @@
 pub struct Lead {
     since: Option<f64>,
     heard: BTreeMap<Who, Heard>,
-    renewed: BTreeMap<Token, f64>,
+    /// When each lease was last renewed, or first seen; and whether its holder may know of it.
+    renewed: BTreeMap<Token, (f64, bool)>,
+    /// Whether a majority has confirmed it: from then on all that leaders before it had agreed on is applied.
+    confirmed: bool,
     /// Leases whose end was asked for, and when: renewed no more, since it may be agreed on at any moment.
     ending: BTreeMap<Token, f64>,
     /// What was last asked for a task, as it stood then: its lease and its runs; and when.
@@ -112,7 +117,7 @@
 
     /// How long since a lease was renewed, in milliseconds.
     pub fn renewed_ago(&self, now: f64, token: Token) -> Option<f64> {
-        self.renewed.get(&token).map(|at| now - at)
+        self.renewed.get(&token).map(|(at, _)| now - at)
     }
 
     /// A lease is renewed no more: it ends, and the task moves.
@@ -122,6 +127,8 @@
 
     /// Answers a member, after a majority has confirmed this leader. All leases that it holds are renewed.
     pub fn answer(&mut self, now: f64, state: &State, ask: &Ask) -> Reply {
+        self.see(now, state);
+        self.confirmed = true;
         let fresh = Heard { since: now, at: now, zone: ask.zone.clone(), drains: ask.drains };
         let heard = self.heard.entry(ask.who.clone()).or_insert(fresh);
         (heard.at, heard.drains) = (now, ask.drains);
@@ -135,7 +142,7 @@
                 ending.push(lease.token);
                 continue;
             }
-            self.renewed.insert(lease.token, now);
+            self.renewed.insert(lease.token, (now, true));
             let tried = task.run.as_ref().map_or(0, |run| run.tried);
             let pause =
                 if tried > 0 { task.spec.backoff * f64::from(1u32 << (tried - 1).min(10)) } else { 0.0 };
@@ -160,6 +167,7 @@
     /// daily runs are due and nothing else.
     pub fn tick(&mut self, now: f64, minute: Option<u64>, state: &State) -> Vec<Command> {
         let Some(since) = self.since else { return Vec::new() };
+        self.see(now, state);
         let out =
             |token: &Token| state.tasks.values().any(|t| t.lease.as_ref().is_some_and(|l| l.token == *token));
         self.renewed.retain(|token, _| out(token));
@@ -181,8 +189,9 @@
                 continue;
             }
             let next = match &task.lease {
-                Some(lease) => self.over(now, since, task, lease.token),
-                None if task.wanted() => self.grant(now, task, &mut held),
+                Some(lease) => self.over(now, task, lease.token),
+                None if task.wanted() && now - since >= GATHER => self.grant(now, task, &mut held),
+                None if task.wanted() => None,
                 None => self.start(now, minute, task),
             };
             if next.is_some() {
@@ -193,15 +202,25 @@
         commands
     }
 
+    /// Takes leases in that it sees for the first time. What a leader before this one may have renewed, it renewed before this
+    /// one led; what is granted under this one, nobody knows before it is told here.
+    fn see(&mut self, now: f64, state: &State) {
+        let known = !self.confirmed;
+        for lease in state.tasks.values().filter_map(|task| task.lease.as_ref()) {
+            let from = if known && self.plant == Plant::NoWait { f64::NEG_INFINITY } else { now };
+            self.renewed.entry(lease.token).or_insert((from, known));
+        }
+    }
+
     /// Ends a lease that surely is over by its holder's clock.
-    fn over(&mut self, now: f64, since: f64, task: &Task, token: Token) -> Option<Command> {
+    fn over(&mut self, now: f64, task: &Task, token: Token) -> Option<Command> {
         let length = task.spec.lease;
-        let wait = if self.plant == Plant::NoMargin { length } else { self.clocks.surely_over(length) };
-        // What a leader before this one may have renewed, it renewed before this one led.
-        let from = match self.renewed.get(&token) {
-            Some(at) => *at,
-            None if self.plant == Plant::NoWait => since - wait,
-            None => since,
+        let bare = self.plant == Plant::NoMargin;
+        let (from, told) = self.renewed.get(&token).copied()?;
+        let wait = match told {
+            true if bare => length,
+            true => self.clocks.surely_over(length),
+            false => UNTOLD,
         };
         if now - from <= wait {
             return None;
--- a/crates/leases/src/lib.rs
+++ b/crates/leases/src/lib.rs
@@ -72,4 +72,6 @@
     NoWait,
     /// A step is acted on before it stands in the record.
     ActFirst,
+    /// A lease that was given up counts as held until it hears of its end.
+    HoldsOn,
 }
--- a/crates/policy/src/diff.rs
+++ b/crates/policy/src/diff.rs
@@ -36,6 +36,10 @@
         let word = |p: &Policy| if p.left_out.contains(id) { "left out" } else { "in use" }.to_owned();
         put(format!("engine \"{id}\""), "", word(before), word(after));
     }
+    for name in union(before.forbidden.iter(), after.forbidden.iter()) {
+        let word = |p: &Policy| if p.forbidden.contains(name) { "yes" } else { "no" }.to_owned();
+        put(format!("task \"{name}\""), "forbidden", word(before), word(after));
+    }
     for name in union(before.classes.keys(), after.classes.keys()) {
         let none = ClassRule::default();
         let a = before.classes.get(name).unwrap_or(&none);
--- a/crates/policy/src/document.rs
+++ b/crates/policy/src/document.rs
@@ -34,6 +34,8 @@
     pub accounts: BTreeMap<String, f64>,
     /// The part of a zone's engines that is used, from 0 to 1.
     pub zones: BTreeMap<String, f64>,
+    /// Tasks of the fleet that do not run, by name.
+    pub forbidden: BTreeSet<String>,
     /// Requests open at a front end at most.
     pub open_most: Option<usize>,
 }
@@ -86,6 +88,12 @@
             many("class", "classes", "name", class),
             many("account", "accounts", "name", vec![share("share")]),
             many("zone", "zones", "name", vec![share("weight")]),
+            many(
+                "task",
+                "tasks",
+                "name",
+                vec![Key { needed: true, ..key("forbidden", "forbidden", Shape::Flag) }],
+            ),
             admission,
         ],
         ..Block::default()
@@ -155,6 +163,9 @@
             _ => None,
         };
         let engines = self.labelled("engines", "id");
+        let tasks = self.labelled("tasks", "name");
+        let forbidden =
+            tasks.into_iter().filter(|(_, map)| flag(map, "forbidden")).map(|(name, _)| name).collect();
         let classes = self.labelled("classes", "name").into_iter().map(|(name, map)| {
             let rule = ClassRule {
                 refused: flag(&map, "refused"),
@@ -178,6 +189,6 @@
             _ => None,
         };
         let left_out = engines.into_iter().filter(|(_, map)| flag(map, "left_out")).map(|(id, _)| id);
-        Policy { left_out: left_out.collect(), classes, accounts, zones, open_most }
+        Policy { left_out: left_out.collect(), classes, accounts, zones, forbidden, open_most }
     }
 }
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -71,12 +71,13 @@
 }
 
 /// Policies that operators propose, by number.
-pub const POLICIES: [&str; 5] = [
+pub const POLICIES: [&str; 6] = [
     "form = 1\nclass \"delivery-load\" {\n  refused = true\n}\n",
     "form = 1\nengine \"s-00000001\" {\n  left_out = true\n}\n",
     "form = 1\nclass \"lookup\" {\n  attempts = 1\n}\n",
     "form = 1\naccount \"leinster\" {\n  share = \"50%\"\n}\n",
     "form = 1\nengine \"s-00000002\" {\n  left_out = true\n}\nclass \"lookup\" {\n  attempts = 2\n}\n",
+    "form = 1\ntask \"feed\" {\n  forbidden = true\n}\n",
 ];
 
 /// Tasks of a world that is played from a seed: one that must not be repeated, one that may.
--- a/crates/sim/src/leases.rs
+++ b/crates/sim/src/leases.rs
@@ -51,6 +51,8 @@
     pub elections: u8,
     /// Times that a member dies and comes back.
     pub restarts: u8,
+    /// Members that drain.
+    pub drains: u8,
     /// Whether messages come twice.
     pub repeats: bool,
     /// Ticks for which member 0 stands still between its look at the clock and its act; else it is any number.
@@ -89,6 +91,7 @@
     pub ran: BTreeMap<(String, u64, u32), u8>,
     elections: u8,
     restarts: u8,
+    drains: u8,
     /// Who had each token.
     owners: BTreeMap<Token, (String, u64)>,
     /// The target was acted on with an older token after a newer one.
@@ -129,6 +132,8 @@
     Lead,
     /// Another decider leads; what was not committed is gone.
     Elect,
+    /// A member is told to end: it gives up what it holds.
+    Drain(usize),
     /// A member dies and comes back.
     Restart(usize),
 }
@@ -198,6 +203,7 @@
             ran: BTreeMap::new(),
             elections: 0,
             restarts: 0,
+            drains: 0,
             owners: BTreeMap::new(),
             back: false,
             shared: false,
@@ -214,6 +220,9 @@
             steps.extend(world.replies[m].as_ref().map(|_| Step::Hear(m)));
             steps.push(Step::Want(m));
             steps.extend((0..self.tasks).map(|t| Step::Look(m, t)));
+            if world.drains < self.drains {
+                steps.push(Step::Drain(m));
+            }
             if world.restarts < self.restarts {
                 steps.push(Step::Restart(m));
             }
@@ -305,6 +314,10 @@
                     world.state.tokens = 0;
                 }
             }
+            Step::Drain(m) => {
+                world.drains += 1;
+                world.holders[m].drain();
+            }
             Step::Restart(m) => {
                 world.restarts += 1;
                 world.lives[m] += 1;
--- a/crates/sim/tests/leases.rs
+++ b/crates/sim/tests/leases.rs
@@ -19,6 +19,7 @@
     ticks: 9,
     elections: 2,
     restarts: 2,
+    drains: 1,
     repeats: true,
     stands: 0,
 };
@@ -64,6 +65,7 @@
     for (plant, fault, stands, promise) in [
         (Plant::NoMargin, Fault::None, 0, HOLD),
         (Plant::NoWait, Fault::None, 0, HOLD),
+        (Plant::HoldsOn, Fault::None, 0, HOLD),
         (Plant::ActFirst, Fault::None, 0, TWICE),
         (Plant::None, Fault::NoFence, 8, BACK),
         (Plant::None, Fault::TokensRestart, 0, SHARED),
--- a/deploy/policy.hcl
+++ b/deploy/policy.hcl
@@ -31,6 +31,11 @@
   weight = "50%"
 }
 
+# This task of the fleet begins no further step (docs/leases.md).
+task "nightly-feed" {
+  forbidden = true
+}
+
 admission {
   open_most = 2000 # requests open at a front end
 }
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -4,6 +4,7 @@
 use beamgap_leases::lead::{self, Lead as LeaseLead};
 use beamgap_leases::state::{Command as TaskCommand, State as Tasks, Task};
 use beamgap_leases::{Clocks, Plant as LeasePlant, Token};
+use beamgap_policy::document;
 use beamgap_policy::switch::lead::Lead;
 use beamgap_policy::switch::state::{Change, Command, Outcome, Record, State};
 use beamgap_policy::switch::{Ask, Mark, Plant, Reply, Times, Version};
@@ -129,6 +130,13 @@
         FleetMachine { state: State::default(), lead, times, tasks: Tasks::default(), leases }
     }
 
+    /// Holds back the tasks that the policy in force forbids; the same at all deciders, as the text is.
+    fn forbid(&mut self) {
+        let read = document::read("policy", self.state.text()).ok();
+        let names = read.map(|read| read.policy.forbidden.into_iter().collect()).unwrap_or_default();
+        self.tasks.apply(&TaskCommand::Forbid(names));
+    }
+
     /// What a member may have agreed on: of leases that are its own.
     fn own(&self, ask: &lead::Ask, command: &TaskCommand) -> bool {
         let holds = |task: &str, token: Token| {
@@ -190,7 +198,12 @@
     fn apply(&mut self, command: &[u8]) {
         if let Some(rest) = command.strip_prefix(&[TASK]) {
             match decode::<TaskCommand>(rest) {
-                Some(command) => self.tasks.apply(&command),
+                Some(command) => {
+                    self.tasks.apply(&command);
+                    if matches!(command, TaskCommand::Define(_)) {
+                        self.forbid();
+                    }
+                }
                 None => {
                     tracing::error!(target: "fleet", "a task's command can't be read: update this program")
                 }
@@ -198,7 +211,13 @@
             return;
         }
         match decode::<Command>(command) {
-            Some(command) => self.state.apply(&command),
+            Some(command) => {
+                let before = self.state.version();
+                self.state.apply(&command);
+                if self.state.version() != before {
+                    self.forbid();
+                }
+            }
             // A younger program's command: this one can't follow, and says so rather than guess.
             None => tracing::error!(target: "fleet", "a command can't be read: update this program"),
         }
--- a/src/fleet/trial.rs
+++ b/src/fleet/trial.rs
@@ -76,6 +76,7 @@
                 Some(("offset", n)) => trial.offset = number(n)?,
                 Some(("plant", "no-margin")) => trial.leases = LeasePlant::NoMargin,
                 Some(("plant", "no-lease-wait")) => trial.leases = LeasePlant::NoWait,
+                Some(("plant", "holds-on")) => trial.leases = LeasePlant::HoldsOn,
                 Some(("plant", "act-first")) => trial.leases = LeasePlant::ActFirst,
                 Some(("plant", name)) => {
                     trial.plant = match name {
--- a/tests/fleet_tasks.rs
+++ b/tests/fleet_tasks.rs
@@ -169,6 +169,30 @@
     w.judge_tasks(&["feed"], &[]).unwrap_or_else(|e| panic!("{e}"));
 }
 
+#[test]
+fn promise_4_a_handover_across_a_change_of_policy_that_forbids_the_task_begins_nothing_more() {
+    let w = world("forbidden", 60, "unknown = \"skip\"", "");
+    w.wait("it acts", SOON, |w| steps_of(w) > 2).unwrap();
+    let first = holder(&w).expect("held");
+    w.members[first].stop(); // Its lease runs out while the change is under way.
+    let file = w.policy(5);
+    let (code, version) = w.change(&["policy", "propose", &file.to_string_lossy(), "--json", "--wait", "25"]);
+    assert_eq!((code, version), (0, Some(1)));
+    let decided = now();
+    w.members[first].wake();
+    w.wait("nobody holds it", SOON, |w| {
+        let task = w.task("feed");
+        task["holder"].is_null() && task["why_not"] == "forbidden by the policy in force"
+    })
+    .unwrap();
+    let late =
+        |e: &beamgap_rig::history::Event| matches!(e.what, What::Began { .. }) && e.at > decided + 400.0;
+    assert!(!w.history.all().iter().any(late), "an act began after the change was in force");
+    assert_eq!(w.change(&["policy", "rollback", "--json"]), (0, Some(2)));
+    over(&w);
+    w.judge_tasks(&["feed"], &[]).unwrap_or_else(|e| panic!("{e}"));
+}
+
 #[test]
 fn promises_3_and_5_paused_while_it_acts_released_and_held_by_another_when_its_member_drains() {
     let mut w = world("paused", 80, "unknown = \"skip\"", "");
