--- a/deploy/fleet.hcl
+++ b/deploy/fleet.hcl
@@ -13,6 +13,18 @@
   check_time   = "2 s"  # for all front ends to check a change; who is silent is no veto
   drift        = "5%"   # by which clocks may run apart at most
 
+  # Tasks that one front end at a time does for the whole fleet (docs/leases.md). They take effect by `beamgap task apply`.
+  task "nightly-feed" {
+    call      = "http://127.0.0.1:7500/feed" # each step is posted there, with the lease's token
+    at        = "02:30"                      # UTC; or `every = "1 h"`; or neither: when an operator says so
+    steps     = 20
+    step_time = "1 s"                        # longest time of a step; at most half the lease
+    lease     = "5 s"                        # another holds it so much + 2 s after its holder drops
+    unknown   = "halt"                       # after a step that may have run; or skip, or repeat
+    tries     = 3                            # of a step that never ran
+    backoff   = "1 s"
+  }
+
   # Three or five deciders, the same at all front ends. Beyond loopback the links are neither secret nor signed in to:
   # such an address is refused unless `plaintext_beyond_loopback = true` says that nobody else reaches that network.
   decider "1" {
