--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -79,7 +79,11 @@
         let stderr = child.stderr.take().ok_or("no standard error")?;
         let (said, history, name) = (self.said.clone(), self.history.clone(), self.name.clone());
         self.reader = Some(std::thread::spawn(move || {
-            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            let mut stderr = BufReader::new(stderr);
+            let mut line = String::new();
+            // A process that is killed may leave a line half written: what has no end counts as not written.
+            while stderr.read_line(&mut line).is_ok() && line.ends_with('\n') {
+                let line = std::mem::take(&mut line).trim_end().to_owned();
                 if history.line(&name, &line) {
                     continue;
                 }
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -569,6 +569,8 @@
         let mut law = TaskLaw::default();
         law.repeatable.extend(repeatable.iter().map(|name| (*name).to_owned()));
         for name in names {
+            // A leader may be on its way.
+            self.wait("the task is told", Duration::from_secs(15), |w| w.task(name)["record"].is_array())?;
             let task = self.task(name);
             for step in task["record"].as_array().ok_or(format!("{name} is not told: {task}"))? {
                 let number = |key: &str| step[key].as_u64().unwrap_or_default();
