Leases: cases of clocks apart, a lost majority, and full disks at the record

Three hard cases had no test with processes: holders whose clocks run 5% fast and slow and leap, a majority that is gone for twice the lease, and disks that are full when a step is to be recorded. No act came late, none ran twice; a run goes on by itself when there is a majority and room again.

--- a/tests/fleet_tasks.rs
+++ b/tests/fleet_tasks.rs
@@ -16,10 +16,15 @@
 
 /// A fleet with one task of so many steps, which begins to run.
 fn world(name: &str, steps: u32, more: &str, trial: &str) -> Case {
+    with_trials(name, steps, more, &[trial])
+}
+
+fn with_trials(name: &str, steps: u32, more: &str, trials: &[&str]) -> Case {
     let tasks = format!(
         "  task \"feed\" {{\n    call = \"TARGET/feed\"\n    steps = {steps}\n    step_time = \"300 ms\"\n    lease = \"1500 ms\"\n    {more}\n  }}\n"
     );
-    let options = Options { tasks, trials: vec![trial.to_owned()], ..Options::default() };
+    let options =
+        Options { tasks, trials: trials.iter().map(|t| (*t).to_owned()).collect(), ..Options::default() };
     let w = Case::start(Path::new(env!("CARGO_BIN_EXE_beamgap")), name, options);
     done(&w, &["task", "apply"]);
     done(&w, &["task", "run", "feed"]);
@@ -193,6 +198,61 @@
     w.judge_tasks(&["feed"], &[]).unwrap_or_else(|e| panic!("{e}"));
 }
 
+#[test]
+fn promise_2_holders_whose_clocks_run_fast_slow_and_leap_never_act_at_once() {
+    let trials = ["rate=0.95", "rate=1.05", "rate=0.95,offset=-50000", "jump=6000:3000", "rate=1.05"];
+    let mut w = with_trials("task-clocks", 60, "unknown = \"skip\"", &trials);
+    for _ in 0..2 {
+        let began = steps_of(&w);
+        w.wait("it acts", SOON, |w| steps_of(w) > began + 3 && holder_of(w).is_some()).unwrap();
+        let (first, token) = (holder(&w).expect("held"), w.task("feed")["token"].as_u64().unwrap_or(0));
+        let from = now();
+        w.cut(first, Way::Silent, Way::Silent);
+        acts_again(&w, from, token);
+        w.mend();
+    }
+    w.join();
+    over(&w);
+    w.judge_tasks(&["feed"], &[]).unwrap_or_else(|e| panic!("{e}"));
+}
+
+fn holder_of(w: &beamgap_rig::world::World) -> Option<String> {
+    w.task("feed")["holder"].as_str().map(str::to_owned)
+}
+
+#[test]
+fn promises_2_and_3_with_the_majority_lost_for_longer_than_the_lease_nobody_acts_and_then_one_goes_on() {
+    let mut w = world("no-majority", 60, "unknown = \"skip\"", "");
+    w.wait("it acts", SOON, |w| steps_of(w) > 3).unwrap();
+    let token = w.task("feed")["token"].as_u64().unwrap_or(0);
+    let gone = now();
+    (0..2).for_each(|m| w.kill(m));
+    w.wait("longer than the lease", SOON, |_| now() - gone > 2.0 * LEASE).unwrap();
+    let late = |e: &beamgap_rig::history::Event| matches!(e.what, What::Began { .. }) && e.at > gone + LEASE;
+    assert!(!w.history.all().iter().any(late), "somebody acted without a majority, after the lease's end");
+    let back = now();
+    (0..2).for_each(|m| w.begin(m).unwrap());
+    acts_again(&w, back, token);
+    over(&w);
+    w.judge_tasks(&["feed"], &[]).unwrap_or_else(|e| panic!("{e}"));
+}
+
+#[test]
+fn promise_4_with_all_disks_full_when_a_step_is_to_be_recorded_none_begins_until_there_is_room() {
+    let w = world("full-record", 40, "unknown = \"skip\"", "");
+    w.wait("it acts", SOON, |w| steps_of(w) > 3).unwrap();
+    (0..3).for_each(|m| w.members[m].fill_disk(true));
+    let full = now();
+    w.wait("longer than the lease", SOON, |_| now() - full > 1.5 * LEASE).unwrap();
+    // The one act that was under way may have begun: what comes after it needs the record.
+    let late = |e: &&beamgap_rig::history::Event| matches!(e.what, What::Began { .. }) && e.at > full + 300.0;
+    assert_eq!(w.history.all().iter().filter(late).count(), 0, "a step began that no disk knows of");
+    (0..3).for_each(|m| w.members[m].fill_disk(false));
+    acts_again(&w, full + 300.0, 0);
+    over(&w);
+    w.judge_tasks(&["feed"], &[]).unwrap_or_else(|e| panic!("{e}"));
+}
+
 #[test]
 fn promises_3_and_5_paused_while_it_acts_released_and_held_by_another_when_its_member_drains() {
     let mut w = world("paused", 80, "unknown = \"skip\"", "");
