Order: the key goes from both fronts to the module, and rests by the engine's word

Now the front reads the key in classes that keep order (a load without one is not run), over MySQL a rule's `order_by` names it (account, tables or session; the account where nothing is said), and the core hands it on. A load that is called off holds its key until the engine has confirmed it or 100 ms have passed; the rest itself is 100 ms longer than the settings', as what ended here may end there later. What was taken back before a byte was written counts as not sent. A load stuck half written, alone on its connection, is given up by closing it.

--- a/src/node/backend/warehouse.rs
+++ b/src/node/backend/warehouse.rs
@@ -65,6 +65,8 @@
     asked: Option<f64>,
     /// Not one byte of these has been written: whatever ends them, they never ran.
     wants: VecDeque<Want>,
+    /// The last of which bytes were written; its end may wait in the buffer still.
+    writing: Option<AttemptRef>,
     open: HashMap<Arc<str>, Attempt>,
     /// Attempts called off, with the tag whose `green` tells that the engine has read so, and since when.
     called_off: VecDeque<(String, AttemptRef, f64)>,
@@ -84,6 +86,19 @@
     }
 }
 
+/// What giving an attempt up came to.
+#[derive(Clone, Copy)]
+enum CalledOff {
+    /// Not a byte of it was written.
+    TakenBack,
+    /// The engine is told on this connection.
+    Told(Key),
+    /// A part of it waits to be written, alone on this connection.
+    Stuck(Key),
+    /// It is not known any more.
+    Gone,
+}
+
 /// The pool of warehouse connections.
 #[derive(Debug)]
 pub struct Warehouses {
@@ -109,7 +124,7 @@
 /// An answer that can't be: the framing is lost, and with it all that the connection carries.
 struct Lost;
 
-const WORDS: [&str; 7] = ["served", "rows", "update", "overload", "nobody", "crashed", "green"];
+const WORDS: [&str; 8] = ["served", "rows", "update", "overload", "nobody", "crashed", "green", "red"];
 
 /// Reads an answer from the front; the number of bytes that it takes. Whatever is not wholly as it should be is lost:
 /// behind a length that does not fit, every byte may pass for something that it is not.
@@ -317,6 +332,7 @@
             quiet: 0.0,
             asked: None,
             wants: VecDeque::new(),
+            writing: None,
             open: HashMap::new(),
             called_off: VecDeque::new(),
             spent: HashSet::new(),
@@ -332,31 +348,50 @@
         Some(key)
     }
 
-    /// Gives an attempt up: takes it back if no byte of it is written, else calls it off. If it is to be sent again it
-    /// ends when the engine confirms that it has read so: the next attempt goes by another connection, and may be
-    /// there before the cancel is.
+    /// Gives an attempt up: takes it back if no byte of it is written, else calls it off. If something waits for its
+    /// end (a further attempt, or the next of its key), it ends when the engine confirms that it has read so: what
+    /// waits goes by another connection, and may be there before the cancel is.
     pub fn give_up(&mut self, at: AttemptRef, again: bool, cx: &mut Cx) {
-        let placed = self.placed.remove(&at);
-        let conn = placed.and_then(|(key, name)| Some((key, name, self.conns.get_mut(key)?)));
-        let called_off = conn.and_then(|(key, name, conn)| {
-            conn.wants.retain(|want| want.at != at);
-            conn.open.remove(&name)?;
-            conn.link.put(format!("never_mind {name}\r\n").as_bytes());
-            conn.spent.insert(name);
-            if again {
-                self.tags += 1;
-                let tag = format!("g{}", self.tags);
-                conn.link.put(format!("there {tag}\r\n").as_bytes());
-                conn.called_off.push_back((tag, at, cx.now));
-                conn.look_at(cx.now + CONFIRM_MS, key, cx.deadlines);
-            }
-            Some(key)
-        });
+        let called_off = self.call_off(at, again, cx);
         match called_off {
-            Some(key) => self.flush(key, cx),
-            None if again => cx.heard.push(Heard::Ended(Ended::bare(at, Outcome::Cancelled))),
-            None => {}
+            CalledOff::Told(key) => self.flush(key, cx),
+            // It has not come whole, and on a connection that takes nothing nobody reads that it is over.
+            CalledOff::Stuck(key) => self.lose(key, Outcome::Reset, cx),
+            CalledOff::TakenBack | CalledOff::Gone => {}
+        }
+        let outcome = match called_off {
+            CalledOff::Told(_) => return,
+            CalledOff::TakenBack => Outcome::Moot,
+            CalledOff::Stuck(_) | CalledOff::Gone => Outcome::Cancelled,
+        };
+        if again {
+            cx.heard.push(Heard::Ended(Ended::bare(at, outcome)));
+        }
+    }
+
+    fn call_off(&mut self, at: AttemptRef, again: bool, cx: &mut Cx) -> CalledOff {
+        let Some((key, name)) = self.placed.remove(&at) else { return CalledOff::Gone };
+        let Some(conn) = self.conns.get_mut(key) else { return CalledOff::Gone };
+        if let Some(place) = conn.wants.iter().position(|want| want.at == at) {
+            conn.wants.remove(place);
+            return CalledOff::TakenBack;
+        }
+        if conn.open.remove(&name).is_none() {
+            return CalledOff::Gone;
+        }
+        if conn.writing == Some(at) && conn.link.waiting() > 0 && conn.open.is_empty() {
+            return CalledOff::Stuck(key);
+        }
+        conn.link.put(format!("never_mind {name}\r\n").as_bytes());
+        conn.spent.insert(name);
+        if again {
+            self.tags += 1;
+            let tag = format!("g{}", self.tags);
+            conn.link.put(format!("there {tag}\r\n").as_bytes());
+            conn.called_off.push_back((tag, at, cx.now));
+            conn.look_at(cx.now + CONFIRM_MS, key, cx.deadlines);
         }
+        CalledOff::Told(key)
     }
 
     /// Tells a new priority.
@@ -452,7 +487,8 @@
 
     fn line(&mut self, key: Key, line: Line<'_>, cx: &mut Cx) -> Result<(), Lost> {
         let Some(conn) = self.conns.get_mut(key) else { return Ok(()) };
-        if line.word == "green" {
+        if matches!(line.word, "green" | "red") {
+            // Either tells that the connection works; how the engine is, the list and the answers tell.
             // Answers come in any order, but a cancel written before `there` has been read before its answer.
             if let Some(place) = conn.called_off.iter().position(|(tag, ..)| tag == line.id) {
                 let read = conn.called_off.drain(..=place).map(|(_, at, _)| at);
@@ -539,6 +575,7 @@
             }
             (conn.quiet, conn.used) = (cx.now - conn.used, cx.now);
             conn.link.put(&want.bytes);
+            conn.writing = Some(want.at);
             let attempt = Attempt { at: want.at, pages: Vec::new(), cost: None, report: None };
             conn.open.insert(want.name, attempt);
         }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -19,6 +19,7 @@
 const STREAMS: f64 = 100.0; // attempts on one connection, where not told
 const BOX_CONNECTIONS: usize = 48; // to one MySQL box, where not told: six sessions on each of eight cores
 const OPEN_MOST: f64 = 30_000.0; // open requests, where not told
+const REST_MORE: Micros = Micros::from_millis(100); // that a key rests longer: what ended here may end there later
 const BACKOFF_MOST: Micros = Micros::from_millis(1000); // longest advice to a refused client, where not told
 
 /// A setting that is missing or wrong.
@@ -134,6 +135,20 @@
     pub work_ms: Option<f64>,
     /// Estimated memory in megabytes.
     pub memory_mb: Option<f64>,
+    /// In a class that keeps order, what has a key in common.
+    pub order_by: OrderBy,
+}
+
+/// Which statements of a class that keeps order have a key in common: they run one after the other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OrderBy {
+    /// All of one account, whatever the session: the widest, and so what holds where nothing is said.
+    #[default]
+    Account,
+    /// All that name one table group.
+    Tables,
+    /// Those of one session, which asks for one thing at a time: sessions do not wait for each other.
+    Session,
 }
 
 /// What the operator's file says of the MySQL front and its boxes.
@@ -189,6 +204,9 @@
         let told = figure(&pairs, "Limits.MaxRetryAfter", 0.0)?;
         let most = if told > 0.0 { super::clock::to_micros(told) } else { BACKOFF_MOST };
         settings.retry_after = Some(settings.retry_after.unwrap_or(most));
+        if settings.classes.iter().any(|c| c.in_order) {
+            settings.key_rest = settings.key_rest.plus(REST_MORE);
+        }
         let zones = names(&pairs, "Azs");
         let kinds = names(&pairs, "MachineTypes");
         let mysql = match root.get("mysql") {
@@ -483,6 +501,15 @@
             budget_ms: number("budget_ms")?,
             work_ms: number("work_ms")?,
             memory_mb: number("memory_mb")?,
+            order_by: match text_of(rule, "order_by")? {
+                None | Some("account") => OrderBy::Account,
+                Some("tables") => OrderBy::Tables,
+                Some("session") => OrderBy::Session,
+                Some(other) => {
+                    let problem = format!("is '{other}'; write account, tables or session");
+                    return wrong(&at("order_by"), problem);
+                }
+            },
         });
     }
     let box_connections = match mysql.get("box_connections").map(json::number) {
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -102,6 +102,8 @@
     pub memory_mb: Option<f64>,
     /// The tenant.
     pub tenant: Option<Arc<str>>,
+    /// In a class that keeps order, the key: what has it in common runs one after the other, as it was taken.
+    pub order: Option<Arc<str>>,
     /// What to run.
     pub payload: Rc<Payload>,
     /// What it lives under, where a fleet has a policy.
@@ -402,7 +404,7 @@
             tables: ask.tables,
             work_hint: ask.work_ms.filter(|ms| *ms > 0.0).map(to_micros),
             memory_hint_mb: ask.memory_mb.filter(|mb| *mb > 0.0),
-            key: None,
+            key: ask.order.clone(),
             tenant: ask.tenant.clone(),
             repeat: false,
         };
@@ -538,9 +540,11 @@
             Action::Cancel { request, attempt } => {
                 let attempt = AttemptRef { request: self.key(&request)?, attempt };
                 let open = self.open.get(attempt.request)?;
-                if open.asker.is_some() && open.out.as_ref().is_some_and(|out| out.attempt == attempt.attempt)
-                {
-                    // It may be sent again, but not before this one is over for sure: its end comes from outside.
+                let (again, ordered) = (open.asker.is_some(), open.ask.order.is_some());
+                let is_out = open.out.as_ref().is_some_and(|out| out.attempt == attempt.attempt);
+                if is_out && (again || ordered) {
+                    // It may be sent again, or the next of its key comes, but not before this one is over for sure:
+                    // its end comes from outside.
                     self.orders.push(Order::GiveUp(attempt, true));
                     return None;
                 }
--- a/src/node/front/jsonrpc.rs
+++ b/src/node/front/jsonrpc.rs
@@ -22,6 +22,7 @@
 const OUT_HIGH: usize = 256 * 1024; // unwritten answers past which nothing more is read from a client
 const OUT_MOST: usize = 4 << 20; // and past which a client that reads nothing is let go: 32 whole results
 const CLIENT_LIGHT: usize = 32 * 1024; // bytes of one client that call for no look at all of them
+const KEY_MOST: usize = 64; // bytes of a key of order: the platform's have 16
 const NAME_LENGTH: usize = 16; // hex digits, as the platform promises: engines read nothing else
 const TURN_BYTES: usize = 64 * 1024; // of one client at a time; then it is the others' turn
 const TURN_MESSAGES: usize = 32; // likewise: a whole connection's worth
@@ -81,6 +82,8 @@
 pub struct JsonRpc {
     clients: Slots<Client>,
     classes: HashMap<String, ClassId>,
+    /// By class, whether it keeps the order of a key.
+    ordered: Vec<bool>,
     tenants: HashMap<String, Arc<str>>,
     /// The longest budget by class.
     budgets: Vec<f64>,
@@ -147,10 +150,11 @@
         let classes =
             settings.classes.iter().enumerate().map(|(i, c)| (c.name.clone(), ClassId(i))).collect();
         let tenants = settings.tenants.iter().map(|t| (t.name.clone(), Arc::from(&*t.name))).collect();
+        let ordered = settings.classes.iter().map(|c| c.in_order).collect();
         let budgets = settings.classes.iter().map(|c| FAR * c.deadline.as_millis()).collect();
         let message_most = (total_most / MESSAGE_PART).clamp(MESSAGE_LEAST, MESSAGE_MOST);
         let (clients, again, told) = (Slots::default(), Vec::new(), (0, 0.0));
-        JsonRpc { clients, classes, tenants, budgets, total_most, message_most, again, told }
+        JsonRpc { clients, classes, ordered, tenants, budgets, total_most, message_most, again, told }
     }
 
     /// Connected clients.
@@ -443,6 +447,15 @@
                 None => return wrong(PARAMS, "acct"),
             },
         };
+        // Without its key nobody can tell what it has to wait for: better not run than out of its turn.
+        let order = match self.ordered.get(class.0) {
+            Some(true) => {
+                let key = text("obj").filter(|key| (1..=KEY_MOST).contains(&key.len()));
+                let Some(key) = key else { return wrong(PARAMS, "obj") };
+                Some(Arc::from(key))
+            }
+            _ => None,
+        };
         // A statement is text: an engine that can't read one closes, whatever else is open on that connection.
         let statement = text("doc").and_then(|doc| BASE64_STANDARD.decode(doc).ok());
         let Some(statement) = statement.filter(|s| !s.is_empty() && std::str::from_utf8(s).is_ok()) else {
@@ -458,6 +471,7 @@
             work_ms,
             memory_mb,
             tenant,
+            order,
             payload: Rc::new(Payload { statement, ..Payload::default() }),
             admitted: None,
         };
--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -6,7 +6,7 @@
 mod statement;
 
 use crate::node::backend::Cx;
-use crate::node::config::MysqlSettings;
+use crate::node::config::{MysqlSettings, OrderBy};
 use crate::node::deadlines::Wake;
 use crate::node::exchange::{Answer, Ask, Asker, Bound, Front, Heard, Payload};
 use crate::node::packets::{self, error, PACKET_MOST};
@@ -117,7 +117,8 @@
 /// The clients of the MySQL front.
 pub struct MysqlFront {
     settings: MysqlSettings,
-    classes: Vec<(Repeat, f64)>,
+    /// Whether a class may be repeated, its time, and whether it keeps the order of a key.
+    classes: Vec<(Repeat, f64, bool)>,
     sessions: Slots<Session>,
     connections: u32,
     total_most: usize,
@@ -126,7 +127,7 @@
 impl MysqlFront {
     /// A front without clients. What waits and is kept in all sessions is bounded by `total_most` bytes.
     pub fn new(settings: MysqlSettings, module: &Settings, total_most: usize) -> MysqlFront {
-        let classes = module.classes.iter().map(|c| (c.repeat, c.deadline.as_millis())).collect();
+        let classes = module.classes.iter().map(|c| (c.repeat, c.deadline.as_millis(), c.in_order)).collect();
         MysqlFront { settings, classes, sessions: Slots::default(), connections: 0, total_most }
     }
 
@@ -410,16 +411,25 @@
         session.requests += 1;
         session.phase = Phase::Busy(number);
         let id = session.requests;
+        let tables = tables::group(&text).unwrap_or(0);
         cx.heard.push(Heard::Asked(Ask {
             asker: Asker { front: Front::Mysql, conn: key, id },
             name: Arc::from(format!("m{}-{}-{id}", key.slot, key.generation)),
             class,
             sent: cx.now,
             budget: rule.and_then(|rule| rule.budget_ms).unwrap_or(self.classes[class.0].1),
-            tables: tables::group(&text).unwrap_or(0),
+            tables,
             work_ms: rule.and_then(|rule| rule.work_ms),
             memory_mb: rule.and_then(|rule| rule.memory_mb),
             tenant: session.tenant.clone(),
+            order: self.classes[class.0].2.then(|| {
+                // Each kind has a letter of its own, so that an account named as a group is no such group.
+                Arc::from(match rule.map(|rule| rule.order_by).unwrap_or_default() {
+                    OrderBy::Account => format!("a{}", String::from_utf8_lossy(&session.user)),
+                    OrderBy::Tables => format!("t{tables}"),
+                    OrderBy::Session => format!("s{}-{}", key.slot, key.generation),
+                })
+            }),
             payload: Rc::new(Payload { statement: text, bound, schema: session.schema.clone() }),
             admitted: None,
         }));
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -41,6 +41,7 @@
             key("budget", "budget_ms", Shape::Duration),
             key("work", "work_ms", Shape::Duration),
             key("memory", "memory_mb", Shape::Size),
+            key("order_by", "order_by", Shape::Text),
         ],
         ..Block::default()
     };
--- a/tests/common/boxes.rs
+++ b/tests/common/boxes.rs
@@ -118,7 +118,11 @@
 
 impl Boxes {
     pub fn new(count: usize) -> Boxes {
-        let stage = Stage::new(count, MYSQL);
+        Boxes::on(Stage::new(count, MYSQL))
+    }
+
+    /// Boxes on a stage that has a MySQL front.
+    pub fn on(stage: Stage) -> Boxes {
         Boxes { stage, sessions: HashMap::new(), runs: Vec::new(), kills: 0, next: Vec::new() }
     }
 
--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -208,9 +208,14 @@
     }
 
     fn limited(warehouses: usize, more: &str, limits: &str) -> Stage {
+        Stage::with(warehouses, more, limits, SETTINGS)
+    }
+
+    /// A node with all that a test may vary.
+    pub fn with(warehouses: usize, more: &str, limits: &str, settings: &str) -> Stage {
         let houses: Vec<House> = (0..warehouses).map(|_| House::new()).collect();
         let list = House::new();
-        let text = configured(&houses, &list, more).replace(LIMITS, limits);
+        let text = configured(&houses, &list, more).replace(LIMITS, limits).replace(SETTINGS, settings);
         let secret = |name: &str| (name == "SECRET").then(|| "frost".to_owned());
         let config = Config::read(text.into_bytes(), &secret).expect("a good configuration");
         let clock = Clock::fixed(START);
@@ -218,6 +223,19 @@
         Stage { node, clock, houses, list, clients: BTreeMap::new(), current: (0, 0) }
     }
 
+    /// A stage whose loads keep the order of their keys, with a rest of 300 ms.
+    pub fn in_order(warehouses: usize) -> Stage {
+        Stage::in_order_with(warehouses, r#""listen":"127.0.0.1:0","#)
+    }
+
+    /// The same with a configuration's further sections.
+    pub fn in_order_with(warehouses: usize, more: &str) -> Stage {
+        let order = r#""Repeat":"side_effect","ByArrival":true,"#;
+        let settings = SETTINGS.replace(r#""Repeat":"side_effect","#, order);
+        let settings = settings.replace(r#""Contract":{"#, r#""Contract":{"TurnGap":300,"#);
+        Stage::with(warehouses, more, LIMITS, &settings)
+    }
+
     /// Plays a scenario on a fresh stage.
     pub fn play(warehouses: usize, scenario: &str) -> Stage {
         let mut stage = Stage::new(warehouses, r#""listen":"127.0.0.1:0","#);
@@ -291,10 +309,13 @@
                 let node = &mut self.node;
                 return peer.push_while(&bytes, || node.turn(Duration::from_millis(1)).unwrap());
             }
+            // A class may have a key behind it: `delivery-load@k1`.
             ["ask", id, class, budget, statement] => {
                 let doc = BASE64_STANDARD.encode(statement);
+                let (class, key) = class.split_once('@').unwrap_or((class, ""));
+                let obj = if key.is_empty() { String::new() } else { format!(r#""obj":"{key}","#) };
                 format!(
-                    r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"rid":"{}",
+                    r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"rid":"{}",{obj}
                     "budget":{budget},"acct":"leinster","est":20.0,"memory":8,"doc":"{doc}"}}}}"#,
                     rid(&format!("{client}-{id}"))
                 )
--- /dev/null
+++ b/tests/order.rs
@@ -0,0 +1,218 @@
+//! Loads of one key run in the order in which they were taken, one at a time, whatever becomes of each.
+
+#[path = "common/stage.rs"]
+mod stage;
+
+use base64::prelude::{Engine as _, BASE64_STANDARD};
+use stage::{rid, Stage};
+
+fn play(warehouses: usize, scenario: &str) -> Stage {
+    let mut stage = Stage::in_order(warehouses);
+    stage.go(scenario);
+    stage
+}
+
+#[test]
+fn loads_of_a_key_go_one_after_the_other_and_other_keys_and_classes_do_not_wait() {
+    play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c1 wait silent
+        c2 send ask 2 delivery-load@k2 25000 insert into s_2.t values (3)
+        w expect want c2-2 *
+        w send c2-2 served pages=1 z\\t\\t\\n
+        c2 expect 2 served z\\t\\t\\n
+        c2 send ask 3 lookup@k1 2500 select 1 from s_3.t
+        w expect want c2-3 *
+        w send c2-3 served pages=1 z\\t\\t\\n
+        c2 expect 3 served z\\t\\t\\n",
+    );
+}
+
+#[test]
+fn the_next_of_a_key_goes_at_once_after_an_end_that_is_sure() {
+    play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c1 wait silent
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
+        clock wait 30
+        w expect want c2-1 *",
+    );
+}
+
+/// The bytes of a load as a client writes them.
+fn load(client: &str, id: u64, key: &str) -> String {
+    let doc = BASE64_STANDARD.encode("insert into s_1.t values (1)");
+    let rid = rid(&format!("{client}-{id}"));
+    let body = format!(
+        r#"{{"jsonrpc":"2.0","id":{id},"method":"delivery-load","params":{{"rid":"{rid}","obj":"{key}","budget":25000,"doc":"{doc}"}}}}"#
+    );
+    format!("raw Content-Length: {}\\r\\n\\r\\n{body}", body.len())
+}
+
+#[test]
+fn of_two_connections_the_request_that_is_whole_first_is_first() {
+    let mut stage = Stage::in_order(2);
+    let (first, second) = (load("c1", 1, "k1"), load("c2", 1, "k1"));
+    // The first bytes of one come before the other, its last byte after.
+    let (head, tail) = first.split_at(first.len() - 9);
+    stage.go(&format!("c1 send {head}\nc1 wait silent\nc2 send {second}\nw expect want c2-1 *"));
+    stage.go(&format!("c1 send raw {tail}\nc1 wait silent\nw send c2-1 served pages=1 x\\t\\t\\n"));
+    stage.go("c2 expect 1 served x\\t\\t\\n\nclock wait 30\nw expect want c1-1 *");
+}
+
+#[test]
+fn what_waits_for_its_turn_may_be_cancelled_and_is_passed_over() {
+    play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c3 send ask 1 delivery-load@k1 25000 insert into s_1.t values (3)
+        c1 wait silent
+        c2 send cancel 1
+        c2 wait silent
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
+        clock wait 30
+        w expect want c3-1 *",
+    );
+}
+
+#[test]
+fn what_waits_for_its_turn_till_its_time_is_over_is_refused_and_the_rest_go_on() {
+    let mut stage = play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 1500 insert into s_1.t values (2)
+        c3 send ask 1 delivery-load@k1 25000 insert into s_1.t values (3)
+        c1 wait silent",
+    );
+    stage.go("clock wait 1600\nc2 expect 1 error -32011 backoff\nw send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n\nclock wait 30\nw expect there *\nw expect want c3-1 *");
+}
+
+#[test]
+fn after_a_reset_the_key_rests() {
+    play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c1 wait silent
+        w close
+        c1 expect 1 error -32010
+        clock wait 380
+        c2 wait silent
+        clock wait 150
+        w expect want c2-1 *",
+    );
+}
+
+#[test]
+fn after_a_time_out_the_key_rests() {
+    play(
+        2,
+        "c1 send ask 1 delivery-load@k1 600 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c1 wait silent
+        clock wait 610
+        c1 expect 1 error -32012
+        w expect never_mind c1-1
+        clock wait 380
+        c2 wait silent
+        clock wait 150
+        w expect want c2-1 *",
+    );
+}
+
+#[test]
+fn a_cancel_that_nobody_confirms_holds_the_key_up_for_its_time_and_the_rest() {
+    // The engine has stopped: nobody can tell when it reads that the load is over.
+    play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c1 send cancel 1
+        w expect never_mind c1-1
+        w expect there g1
+        clock wait 480
+        c2 wait silent
+        clock wait 150
+        w expect want c2-1 *",
+    );
+}
+
+#[test]
+fn a_cancel_that_is_confirmed_frees_the_key_after_its_rest() {
+    let mut stage = play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c1 send cancel 1
+        w expect never_mind c1-1
+        w expect there g1",
+    );
+    // The answer to a look may be red as well as green: either shows that the line before it was read.
+    let conns = stage.houses.iter_mut().flat_map(|house| &mut house.conns);
+    conns.for_each(|conn| conn.push(b"g1 red - 0\r\n\r\n"));
+    stage.go("clock wait 380\nc2 wait silent\nclock wait 150\nw expect want c2-1 *");
+}
+
+#[test]
+fn while_a_second_attempt_follows_the_next_of_the_key_waits_on() {
+    play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c1 wait silent
+        w send c1-1 overload -
+        w expect want c1-1 *
+        clock wait 100
+        c2 wait silent
+        w send c1-1 crashed -
+        c1 expect 1 error -32010
+        clock wait 30
+        w expect want c2-1 *",
+    );
+}
+
+#[test]
+fn a_load_without_a_key_or_with_one_that_cannot_be_is_not_run() {
+    let long = "x".repeat(65);
+    play(
+        1,
+        &format!(
+            "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
+            c1 expect 1 error -32602
+            c1 send ask 2 delivery-load@{long} 25000 insert into s_1.t values (1)
+            c1 expect 2 error -32602
+            c1 wait silent"
+        ),
+    );
+}
+
+#[test]
+fn at_a_planned_end_those_that_wait_for_their_turn_are_answered() {
+    let mut stage = play(
+        2,
+        "c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c1 wait silent",
+    );
+    stage.node.end();
+    stage.go("w send c1-1 served pages=1 x\\t\\t\\n\nc1 expect 1 served x\\t\\t\\n\nclock wait 30
+        w expect want c2-1 *\nw send c2-1 served pages=1 y\\t\\t\\n\nc2 expect 1 served y\\t\\t\\n");
+}
