--- a/src/api.rs
+++ b/src/api/settings.rs
@@ -1,53 +1,7 @@
-//! The interface of the module: what it is told at the start, what it hears, what it answers.
-//!
-//! Times are [`Micros`]; memory is in megabytes; work is processor time on one thread at the usual speed.
+//! What a gateway is told at its start: classes, machines, tenants, rules.
 
-use std::collections::BTreeMap;
+use super::Micros;
 use std::fmt;
-use std::sync::Arc;
-
-/// A point in time or a length of time, in microseconds. Points count from a start that means nothing.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Micros(pub u64);
-
-impl Micros {
-    /// So many milliseconds.
-    pub const fn from_millis(ms: u64) -> Micros {
-        Micros(ms.saturating_mul(1000))
-    }
-    /// The length in milliseconds, with fractions.
-    pub fn as_millis(self) -> f64 {
-        self.0 as f64 / 1000.0
-    }
-    /// The later of two points plus a length, without overflow.
-    pub fn plus(self, more: Micros) -> Micros {
-        Micros(self.0.saturating_add(more.0))
-    }
-    /// The time since `earlier`, zero if that is not earlier.
-    pub fn since(self, earlier: Micros) -> Micros {
-        Micros(self.0.saturating_sub(earlier.0))
-    }
-}
-
-/// Names a request; never used twice. Its text means nothing.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestId(pub Arc<str>);
-
-/// Names an engine by its address, the same at every gateway; a restarted process keeps it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct EngineId(pub Arc<str>);
-
-/// The number of an attempt of one request, from 0 in the order of its [`Action::Send`]s.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Attempt(pub u32);
-
-/// Names a timer; comes back as given.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TimerId(pub u64);
-
-/// Place of a class in [`Settings::classes`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ClassId(pub usize);
 
 /// Whether a request of a class may be run again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -213,6 +167,9 @@
     pub fall_span: Micros,
 }
 
+const CORES_UNSTATED: f64 = 8.0; // cores of a kind that states none: a small machine
+const MEMORY_UNSTATED: f64 = 16_384.0; // MB of a kind that states none: a small machine
+
 /// What a gateway is told at its start. What is absent binds nothing.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -297,6 +254,15 @@
         }
     }
 
+    /// What a kind of machine has: its place in [`Settings::kinds`] (behind the last if it is not there), its cores, and
+    /// its memory in megabytes; where none are stated, a small machine's.
+    pub fn machine(&self, kind: &str) -> (usize, f64, f64) {
+        let place = self.kinds.iter().position(|k| k.name == kind).unwrap_or(self.kinds.len());
+        let stated = |of: fn(&KindSettings) -> Option<f64>| of(self.kinds.get(place)?).filter(|f| *f > 0.0);
+        let (cores, memory) = (stated(|k| k.cores), stated(|k| k.memory_mb));
+        (place, cores.unwrap_or(CORES_UNSTATED), memory.unwrap_or(MEMORY_UNSTATED))
+    }
+
     /// Says which setting makes no sense, if one does not.
     pub fn check(&self) -> Result<(), SettingsError> {
         let figure = |name: &str, value: f64| {
@@ -368,297 +334,3 @@
 }
 
 impl std::error::Error for SettingsError {}
-
-/// Whether an engine takes new work, as the list says.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum MemberState {
-    /// Takes work.
-    #[default]
-    Serving,
-    /// Finishes what it has.
-    Draining,
-    /// Is no more.
-    Gone,
-}
-
-/// An engine, as listed.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Member {
-    /// Its address.
-    pub engine: EngineId,
-    /// Its zone.
-    pub zone: String,
-    /// Its machine kind.
-    pub kind: String,
-    /// Its size against the others; no unit.
-    pub size_hint: f64,
-    /// Its cell.
-    pub cell: u64,
-    /// When it last started; `None` for long ago.
-    pub started: Option<Micros>,
-    /// Whether it takes work.
-    pub state: MemberState,
-}
-
-/// How a list is to be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListKind {
-    /// The whole list as last had before a restart, maybe old.
-    Cached,
-    /// The whole list; who is not in it is gone.
-    Full,
-    /// Changed entries only.
-    Changes,
-}
-
-/// A request that the gateway has taken.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Request {
-    /// Its id.
-    pub id: RequestId,
-    /// Its class.
-    pub class: ClassId,
-    /// How long the client still waits.
-    pub left: Micros,
-    /// Its group of tables.
-    pub tables: u64,
-    /// Estimated work, on one thread; `None` if there is no estimate.
-    pub work_hint: Option<Micros>,
-    /// Estimated memory in megabytes; `None` if there is no estimate.
-    pub memory_hint_mb: Option<f64>,
-    /// Key of its order, if it has one.
-    pub key: Option<Arc<str>>,
-    /// Whose request it is.
-    pub tenant: Option<Arc<str>>,
-    /// Whether the client says that it is a repeat.
-    pub repeat: bool,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// Served.
-    Served,
-    /// The engine answered with an error; it may have run.
-    Error,
-    /// Turned away unseen; it has not run.
-    Full,
-    /// No answer in time; it may still run.
-    TimedOut,
-    /// No connection; it has not run.
-    ConnectFailed,
-    /// The connection broke; it may have run.
-    Reset,
-    /// Called off; it may have run.
-    Cancelled,
-    /// Not sent; it has not run.
-    Moot,
-}
-
-impl Outcome {
-    /// Whether the attempt has certainly not run.
-    pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
-    }
-    /// Whether the work may go on after this outcome.
-    pub fn end_unsure(self) -> bool {
-        matches!(self, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
-    }
-}
-
-/// What an engine says of its load; some time old and not exact.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct LoadReport {
-    /// Queries in hand.
-    pub in_flight: Option<f64>,
-    /// Queries waiting for memory.
-    pub queued: Option<f64>,
-    /// Share of processor time used.
-    pub busy: Option<f64>,
-    /// Share of memory granted.
-    pub memory_share: Option<f64>,
-    /// Share of disks busy.
-    pub disk_share: Option<f64>,
-    /// Other figures by name.
-    pub other: BTreeMap<String, f64>,
-}
-
-/// What a served query took.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct TrueCost {
-    /// Its work, on one thread.
-    pub work: Micros,
-    /// The memory that it needed, in megabytes.
-    pub memory_mb: f64,
-}
-
-/// News of a running attempt.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Note {
-    /// Share of the work done; rough.
-    Progress(f64),
-    /// It spills; so many megabytes are missing.
-    Spilling(f64),
-    /// It stands in the engine's line for memory.
-    WaitsForMemory,
-    /// It stands still behind a holder of its tables.
-    WaitsForHolder,
-}
-
-/// The end of an attempt.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Closed {
-    /// Which request.
-    pub request: RequestId,
-    /// Which attempt.
-    pub attempt: Attempt,
-    /// On which engine.
-    pub engine: EngineId,
-    /// How.
-    pub outcome: Outcome,
-    /// How long it took.
-    pub latency: Micros,
-    /// Whether nothing more is owed to the client.
-    pub request_over: bool,
-    /// What it took, where told.
-    pub cost: Option<TrueCost>,
-    /// The engine's load, where told.
-    pub report: Option<LoadReport>,
-}
-
-/// What a gateway hears.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    /// The engine list, or changes to it.
-    Members {
-        /// How to read it.
-        kind: ListKind,
-        /// Its version; it only grows.
-        version: u64,
-        /// The entries.
-        members: Vec<Member>,
-    },
-    /// A list call failed or the subscription broke.
-    ListFailed,
-    /// A request was taken.
-    Arrived(Request),
-    /// A stream began to flow: the request is bound to this attempt.
-    Streaming {
-        /// Which request.
-        request: RequestId,
-        /// Which attempt.
-        attempt: Attempt,
-    },
-    /// An attempt is over.
-    Closed(Closed),
-    /// Nobody waits for the request any more.
-    Abandoned(RequestId),
-    /// A timer is up.
-    Timer(TimerId),
-    /// A probe's result.
-    Probed {
-        /// Which engine.
-        engine: EngineId,
-        /// How it ended; [`Outcome::Served`] if it passed.
-        outcome: Outcome,
-        /// How long it took.
-        latency: Micros,
-        /// The engine's load, where told.
-        report: Option<LoadReport>,
-    },
-    /// A message from another gateway.
-    Peer {
-        /// Its number.
-        from: u32,
-        /// What it says.
-        data: Vec<u8>,
-    },
-    /// News of a running attempt.
-    Noted {
-        /// Which request.
-        request: RequestId,
-        /// Which attempt.
-        attempt: Attempt,
-        /// On which engine.
-        engine: EngineId,
-        /// What.
-        note: Note,
-    },
-}
-
-impl Event {
-    /// The request that the event tells of, unless it is a new one.
-    pub fn about(&self) -> Option<&RequestId> {
-        match self {
-            Event::Streaming { request, .. } | Event::Noted { request, .. } | Event::Abandoned(request) => {
-                Some(request)
-            }
-            Event::Closed(closed) => Some(&closed.request),
-            _ => None,
-        }
-    }
-}
-
-/// What a gateway decides. Actions take effect in the order given.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Hand the request to an engine.
-    Send {
-        /// Which request.
-        request: RequestId,
-        /// To which engine.
-        engine: EngineId,
-        /// Give the attempt up after this long; `None`: as long as the client waits.
-        give_up_after: Option<Micros>,
-    },
-    /// End the request unserved; trying again is harmless.
-    Refuse {
-        /// Which request.
-        request: RequestId,
-        /// When to come back, where such advice is given.
-        retry_after: Option<Micros>,
-    },
-    /// End the request with an error that promises nothing.
-    Fail {
-        /// Which request.
-        request: RequestId,
-    },
-    /// Call an attempt off; its outcome still comes.
-    Cancel {
-        /// Which request.
-        request: RequestId,
-        /// Which attempt.
-        attempt: Attempt,
-    },
-    /// Set the terms of the request's next attempts, and at once the priority of those out.
-    Terms {
-        /// Which request.
-        request: RequestId,
-        /// Memory for each further attempt in megabytes; 0: the engine chooses.
-        memory_mb: u64,
-        /// Priority from 0 to 3.
-        priority: u8,
-    },
-    /// Give idle connections back.
-    CloseIdle(EngineId),
-    /// Send a message to another gateway, or to all.
-    Tell {
-        /// Whom; `None` for all.
-        to: Option<u32>,
-        /// What, 256 bytes at most.
-        data: Vec<u8>,
-    },
-    /// Come back with [`Event::Timer`] after this long.
-    SetTimer {
-        /// How long from now.
-        after: Micros,
-        /// Its name.
-        timer: TimerId,
-    },
-    /// Open (or close) a standing subscription to the engine list.
-    Subscribe(bool),
-    /// Ask once for the whole engine list.
-    FetchList,
-    /// A line for the operators.
-    Log(String),
-}
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -1,24 +1,6 @@
 //! What the module holds of each engine and of its own room, for those outside who balance by it.
 
-use super::{Gateway, Health, MemberState};
-use crate::api::EngineId;
-
-/// How an engine stands in the module's eyes.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Standing {
-    /// The engine.
-    pub engine: EngineId,
-    /// Its zone.
-    pub zone: String,
-    /// What the list says of it.
-    pub state: MemberState,
-    /// Whether it is trusted with new work: listed, and not put aside for bad signs.
-    pub takes: bool,
-    /// What it can do against the others: cores, less while it is cold or slow.
-    pub weight: f64,
-    /// The share of its capacity that it surely has, from 0 to 1: below 1 while it warms.
-    pub warmth: f64,
-}
+use super::*;
 
 impl Gateway {
     /// All engines that are not gone, in the order of their ids.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,5 +48,4 @@
 mod state;
 
 pub use api::*;
-pub use decide::standing::Standing;
 pub use decide::Gateway;
