Order: a key's line holds 256 requests at most; what is more is refused, not run

Cause: hundreds of loads of one key could wait behind one, each to be answered only as its time ran out. Change: what would stand beyond 256 in its key's line is refused at once, with when to come back; the order of the rest stays. A million keys one after the other leave nothing in the tables.

--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -12,6 +12,7 @@
 const RUN_MARGIN: f64 = 1.3; // times its run alone that a query takes at least beside others
 const LIGHT_OVER: f64 = 1.3; // times the bound up to which light work still goes without priorities
 const LATE_KEPT: f64 = 0.2; // late worth; from here a late answer is worth its wait
+const KEY_LINE: usize = 256; // requests of one key: more can't have their turn while their clients wait
 
 impl Gateway {
     fn weight(&self, class: &ClassSettings, e: &Engine) -> f64 {
@@ -98,8 +99,9 @@
         (job.work_ms, job.need_mb) = self.estimate(&job);
         self.learned[job.request.class.0].asked += job.work_ms;
         self.prices.count(job.work_ms / self.worth(&job), job.work_ms);
+        let mut full = false;
         if let Some(key) = job.request.key.as_ref().filter(|_| self.class(&job).in_order) {
-            self.keys.join(key, seq);
+            full = self.keys.join(key, seq) > KEY_LINE;
         }
         self.groups.count(job.request.tables);
         let mut plans = std::mem::take(&mut self.plans);
@@ -108,7 +110,11 @@
         }
         self.plans = plans;
         self.jobs.insert(seq, job);
-        self.dispatch(seq, out);
+        if full {
+            self.give_up(seq, out)
+        } else {
+            self.dispatch(seq, out)
+        }
     }
 
     /// Sends the request, holds it, or ends it.
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -119,8 +119,11 @@
 }
 
 impl KeyLines {
-    pub fn join(&mut self, key: &Arc<str>, seq: u64) {
-        self.lines.entry(key.clone()).or_default().push_back(seq);
+    /// Puts a request behind all others of its key; how many there are then.
+    pub fn join(&mut self, key: &Arc<str>, seq: u64) -> usize {
+        let line = self.lines.entry(key.clone()).or_default();
+        line.push_back(seq);
+        line.len()
     }
     pub fn leave(&mut self, key: &Arc<str>, seq: u64) {
         self.lines.entry(key.clone()).or_default().retain(|s| *s != seq);
@@ -159,3 +162,25 @@
         self.further.retain(|t| now.since(*t) <= span);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_million_keys_leave_nothing_behind() {
+        let mut keys = KeyLines::default();
+        for n in 0..1_000_000u64 {
+            let (key, now) = (Arc::from(format!("k{n}")), Micros::from_millis(n));
+            assert_eq!(keys.join(&key, n), 1);
+            keys.leave(&key, n);
+            keys.rest(&key, now.plus(Micros::from_millis(400)));
+            if n % 25 == 0 {
+                keys.tidy(now);
+            }
+        }
+        keys.tidy(Micros::from_millis(1_000_400));
+        assert_eq!((keys.lines.len(), keys.rests.len()), (0, 0));
+        assert!(keys.lines.capacity() + keys.rests.capacity() < 4096, "the tables have grown");
+    }
+}
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -203,6 +203,25 @@
     );
 }
 
+#[test]
+fn a_line_of_hundreds_is_bounded_and_what_is_turned_away_leaves_the_order_as_it_is() {
+    let mut stage = Stage::in_order(1);
+    stage.go("c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)\nw expect want c1-1 *");
+    let (mut refused, mut waiting) = (0, 0);
+    for n in 0..300 {
+        let (client, id) = (format!("d{}", n / 30), n % 30 + 1);
+        stage.go(&format!("{client} send ask {id} delivery-load@k1 25000 insert into s_1.t values ({n})"));
+        (0..3).for_each(|_| stage.turn());
+        match stage.answered(&client) {
+            true => refused += 1,
+            false => waiting += 1,
+        }
+        assert!(refused == 0 || waiting >= 250, "turned away with {waiting} in line");
+    }
+    assert!(refused > 30 && waiting <= 256, "{refused} turned away, {waiting} wait");
+    stage.go("w send c1-1 served pages=1 x\\t\\t\\n\nc1 expect 1 served x\\t\\t\\n\nclock wait 30\nw expect want d0-1 *");
+}
+
 #[test]
 fn at_a_planned_end_those_that_wait_for_their_turn_are_answered() {
     let mut stage = play(
