--- a/src/log.rs
+++ b/src/log.rs
@@ -78,6 +78,7 @@
         "list" => info,
         "fleet" => info,
         "reload" => info,
+        "settings" => info,
         "ending" => info,
         "dial" => warn,
         "silent" => warn,
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -3,7 +3,7 @@
 use super::bulletin::{Listing, News};
 use super::json::{self, *};
 use super::operator;
-use crate::settings::settings as read_settings;
+use crate::settings::read as read_settings;
 use crate::{ClassId, EngineId, ListKind, Member, MemberState, Micros, Repeat, Settings};
 use beamgap_xds::core::picture::{ColdTerms, Listener, Terms};
 use beamgap_xds::transport::Service;
@@ -94,6 +94,8 @@
     pub xds: Option<Service>,
     /// How it takes part in a fleet; not at all unless an operator's file says so.
     pub fleet: Option<crate::fleet::settings::Fleet>,
+    /// What of the settings has no use here, and what is assumed where they say nothing: lines for the log.
+    pub fit: Vec<String>,
     /// The file's keys that count at the start only, to see on a reload which of them have changed.
     pub at_start: BTreeMap<String, OwnedValue>,
 }
@@ -198,7 +200,7 @@
         let Some(nested) = root.get("settings") else { return wrong("settings", "is missing") };
         let mut pairs = HashMap::new();
         flatten(nested, "", &mut pairs);
-        let mut settings =
+        let (mut settings, fit) =
             read_settings(&pairs).or_else(|e| wrong("settings", format!("are wrong: {}", e.0)))?;
         // A refusal always says when to come back, whether or not the simulator's clients are told.
         let told = figure(&pairs, "Limits.MaxRetryAfter", 0.0)?;
@@ -259,6 +261,7 @@
             control,
             xds,
             fleet: None,
+            fit,
             at_start: at_start(root),
         };
         if let Some(fleet) = root.get("fleet") {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -159,7 +159,7 @@
             at_start: config.at_start,
             ending: None,
             ended: false,
-            log: Vec::new(),
+            log: config.fit,
         };
         for (front, listener) in &node.listeners {
             node.log.push(format!("listen: front={front:?} address={}", listener.local_addr()?));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,8 +1,11 @@
 //! Settings by the names that the platform gives them: one reading for the simulator's wire and the node's
 //! configuration. Keys that are not known are passed over; absent ones bind nothing.
 
+pub mod fit;
+
 use crate::api::*;
-use std::collections::HashMap;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
 
 /// A line that is not as it should be: what was found, what was expected.
 #[derive(Debug, PartialEq, Eq)]
@@ -30,11 +33,18 @@
 }
 
 /// Settings by their paths.
-struct Pairs<'a>(&'a HashMap<String, String>);
+struct Pairs<'a> {
+    given: &'a HashMap<String, String>,
+    asked: RefCell<BTreeSet<String>>,
+}
 
 impl Pairs<'_> {
+    fn get(&self, path: &str) -> Option<&String> {
+        self.asked.borrow_mut().insert(path.to_owned());
+        self.given.get(path)
+    }
     fn text(&self, path: &str) -> Option<&str> {
-        self.0.get(path).map(String::as_str).filter(|v| !v.is_empty() && *v != "-")
+        self.get(path).map(String::as_str).filter(|v| !v.is_empty() && *v != "-")
     }
     fn number(&self, path: &str) -> Parsed<Option<f64>> {
         self.text(path).map(|v| number(v, &format!("a number for {path}"))).transpose()
@@ -51,7 +61,7 @@
         }
     }
     fn list(&self, path: &str) -> Option<Vec<String>> {
-        let value = self.0.get(path)?;
+        let value = self.get(path)?;
         Some(value.split(',').filter(|v| !v.is_empty()).map(str::to_owned).collect())
     }
     fn numbers(&self, path: &str, length: usize) -> Parsed<Option<Vec<f64>>> {
@@ -84,7 +94,12 @@
 
 /// Reads the settings of a start line; keys that are not known are passed over, absent ones bind nothing.
 pub fn settings(pairs: &HashMap<String, String>) -> Parsed<Settings> {
-    let p = Pairs(pairs);
+    read(pairs).map(|(settings, _)| settings)
+}
+
+/// Likewise, with lines that tell how far they fit: what has no use here, and what is assumed.
+pub fn read(given: &HashMap<String, String>) -> Parsed<(Settings, Vec<String>)> {
+    let p = Pairs { given, asked: RefCell::default() };
     let classes = p.count("Classes")?;
     let threads = p.numbers("Domain.ThreadsByClass", classes)?;
     let holds = p.flags("Domain.ClassLoad", classes)?;
@@ -182,7 +197,8 @@
     s.notes_every = p.time("Domain.TellsEvery")?.filter(|every| every.0 > 0);
     s.tells_cost = p.flag("Domain.TellsCost")?.unwrap_or(false);
     s.check().or_else(|e| bad(&e.to_string(), "settings that make sense"))?;
-    Ok(s)
+    let fit = fit::fit(given, &p.asked.borrow());
+    Ok((s, fit))
 }
 
 /// Puts one figure of a load report into its place. The simulator's wire and the sockets have names of their own.
--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -41,6 +41,8 @@
 impl Peer {
     pub fn new(stream: TcpStream) -> Peer {
         stream.set_nonblocking(true).unwrap();
+        // Under a clock that is set, the system's wait for an acknowledgement could be seconds.
+        stream.set_nodelay(true).unwrap();
         Peer { stream, input: Vec::new(), closed: false }
     }
     pub fn pull(&mut self) {
@@ -83,7 +85,7 @@
         Some(whole)
     }
     /// The next JSON-RPC message: `ID served TEXT`, `ID error CODE [backoff]`, or what else it holds.
-    fn message(&mut self) -> Option<String> {
+    pub fn message(&mut self) -> Option<String> {
         let end = self.input.windows(4).position(|w| w == b"\r\n\r\n")?;
         let head = String::from_utf8(self.input[..end].to_vec()).unwrap();
         let length: usize = head.strip_prefix("Content-Length: ").unwrap().parse().unwrap();
