--- /dev/null
+++ b/src/node/backend/warehouse/dial.rs
@@ -0,0 +1,82 @@
+//! Which connection an attempt goes by, and when a new one is dialled.
+
+use super::*;
+
+impl Warehouses {
+    /// An idle connection that never carried this name before, else a new one, else the least loaded: a connection
+    /// that is spoilt or cut off takes all that is open on it along, so each is to carry little. What must not run
+    /// twice goes by a new one where it can: one that was idle may be reset as the request comes, and nobody can tell
+    /// whether it was read.
+    pub(super) fn choose(&mut self, id: &EngineId, name: &Arc<str>, once: bool, cx: &mut Cx) -> Option<Key> {
+        let keeps = self.roster.keeps(id, cx.now);
+        let fits = |conn: &Conn| {
+            let quiet = cx.now - conn.used > keeps;
+            let suspect = conn.asked.is_some_and(|at| cx.now - at > SUSPECT_MS);
+            // A late line of an attempt given up must not pass for the answer of the next.
+            let clean = !conn.spent.contains(name) && !conn.open.contains_key(name);
+            !suspect && !quiet && clean && conn.load() < self.streams && conn.spent.len() < SPENT_MOST
+        };
+        let fitting =
+            self.roster.links(id).iter().copied().filter(|key| self.conns.get(*key).is_some_and(fits));
+        let load = |key: &Key| self.conns.get(*key).map_or(0, Conn::load);
+        let least = fitting.min_by_key(load);
+        let spare = self.conns.len() < self.sockets;
+        match least {
+            Some(key) if !spare || (load(&key) == 0 && !once) => Some(key),
+            least => self.dial(id, cx).or(least),
+        }
+    }
+
+    pub(super) fn dial(&mut self, id: &EngineId, cx: &mut Cx) -> Option<Key> {
+        if self.conns.len() >= self.sockets {
+            let idle = self.conns.iter().find(|(_, conn)| conn.load() == 0).map(|(key, _)| key)?;
+            self.lose(idle, Outcome::Reset, cx);
+        }
+        if self.roster.links(id).len() >= LINKS_MOST {
+            let idle = |key: &Key| self.conns.get(*key).is_some_and(|conn| conn.load() == 0);
+            let idle = self.roster.links(id).iter().copied().find(idle)?;
+            self.lose(idle, Outcome::Reset, cx);
+        }
+        let engine = self.roster.get_mut(id)?;
+        let link = Link::dial(engine.address)
+            .map_err(|e| cx.log.push(format!("dial: engine={} error={e}", id.0)))
+            .ok()?;
+        let (since, heard) = (cx.now, cx.now);
+        let key = self.conns.insert(Conn {
+            engine: id.clone(),
+            link,
+            up: false,
+            since,
+            heard,
+            next_look: None,
+            used: cx.now,
+            quiet: 0.0,
+            asked: None,
+            wants: VecDeque::new(),
+            writing: None,
+            open: HashMap::new(),
+            called_off: VecDeque::new(),
+            spent: HashSet::new(),
+        });
+        engine.links.push(key);
+        trace!(target: ACCOUNT, "dial: engine={} links={} all={}", id.0, engine.links.len(), self.conns.len());
+        let watched = self.conns.get_mut(key)?.link.watch(cx.registry, Owner::Warehouse(key));
+        if watched.is_err() {
+            self.lose(key, Outcome::ConnectFailed, cx);
+            return None;
+        }
+        self.conns.get_mut(key)?.look_at(cx.now + self.dial_ms, key, cx.deadlines);
+        Some(key)
+    }
+
+    /// Guards against connections that die unseen while they are quiet, as behind a box that forgets them: the next
+    /// request on such a one is reset at once, read or not. What one showed holds for the engine's others.
+    pub(super) fn learn_keeps(&mut self, key: Key, cx: &mut Cx) {
+        let Some(conn) = self.conns.get(key).filter(|conn| !conn.open.is_empty()) else { return };
+        let known = self.roster.keeps(&conn.engine, cx.now);
+        let Some(engine) = self.roster.get_mut(&conn.engine) else { return };
+        if conn.quiet >= KEEPS_LEAST {
+            engine.keeps = Some((known.min(conn.quiet * KEEPS_PART), cx.now + KEEPS_FOR));
+        }
+    }
+}
--- a/src/node/config.rs
+++ b/src/node/config/mod.rs
@@ -1,5 +1,9 @@
 //! The one place where settings are read, checked and given defaults. Every error names the faulty key.
 
+mod known;
+pub mod mysql;
+mod xds;
+
 use super::bulletin::{Listing, News};
 use super::json::{self, *};
 use super::operator;
@@ -7,10 +11,14 @@
 use crate::{ClassId, EngineId, ListKind, Member, MemberState, Micros, Repeat, Settings};
 use beamgap_xds::core::picture::{ColdTerms, Listener, Terms};
 use beamgap_xds::transport::Service;
+use known::read_known;
+use mysql::read_mysql;
+pub use mysql::{Account, MysqlSettings, OrderBy, Rule};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use xds::read_xds;
 
 const SOCKETS: f64 = 1024.0; // where no limit is told: the usual soft limit of a process
 const MEMORY_MB: f64 = 192.0; // where no limit is told: the least that the platform gives
@@ -111,67 +119,6 @@
     pub cluster: String,
 }
 
-/// A client's account on the MySQL front.
-#[derive(Clone, PartialEq)]
-pub struct Account {
-    /// Its name.
-    pub user: String,
-    /// Its password; may be empty.
-    pub password: String,
-    /// The tenant that its requests belong to.
-    pub tenant: Option<Arc<str>>,
-}
-
-/// Gives a class to the statements that it fits; the first fitting rule counts.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Rule {
-    /// The statement's first word, in capitals.
-    pub verb: Option<String>,
-    /// A text that it holds, in small letters.
-    pub mentions: Option<String>,
-    /// The class.
-    pub class: ClassId,
-    /// How long the client is taken to wait, in milliseconds; the class's own time if absent.
-    pub budget_ms: Option<f64>,
-    /// Estimated work in milliseconds.
-    pub work_ms: Option<f64>,
-    /// Estimated memory in megabytes.
-    pub memory_mb: Option<f64>,
-    /// In a class that keeps order, what has a key in common.
-    pub order_by: OrderBy,
-}
-
-/// Which statements of a class that keeps order have a key in common: they run one after the other.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum OrderBy {
-    /// All of one account, whatever the session: the widest, and so what holds where nothing is said.
-    #[default]
-    Account,
-    /// All that name one table group.
-    Tables,
-    /// Those of one session, which asks for one thing at a time: sessions do not wait for each other.
-    Session,
-}
-
-/// What the operator's file says of the MySQL front and its boxes.
-#[derive(Clone, PartialEq)]
-pub struct MysqlSettings {
-    /// Where clients connect.
-    pub listen: SocketAddr,
-    /// Who may log in.
-    pub accounts: Vec<Account>,
-    /// The class of statements that no rule fits; it must never be run twice.
-    pub default_class: ClassId,
-    /// The rules, in order.
-    pub rules: Vec<Rule>,
-    /// The user as whom the node logs in at the boxes.
-    pub box_user: String,
-    /// Its password.
-    pub box_password: String,
-    /// Connections to one box.
-    pub box_connections: usize,
-}
-
 impl Config {
     /// Reads the text of a configuration file. `env` gives the environment's variables: `NODE_LISTEN` stands in
     /// where the file names no address, and passwords stand only there.
@@ -366,224 +313,3 @@
         cluster: text("cluster")?.map_or(cluster, str::to_owned),
     })
 }
-
-const PROXY_SHARE: f64 = 0.5; // of what a cold engine bears, for proxies, where not told
-const REQUEST_WORK_MS: f64 = 200.0; // of a request that comes by proxies, where not told
-const STREAMS_MOST: f64 = 1_000.0; // of proxies, where not told
-
-fn read_xds(xds: &OwnedValue, control: &ControlSettings, settings: &Settings) -> Read<Service> {
-    let number = |key: &str, absent: f64, least: f64, most: f64| match xds.get(key).map(json::number) {
-        None => Ok(absent),
-        Some(Some(n)) if (least..=most).contains(&n) => Ok(n),
-        Some(_) => wrong(&format!("xds.{key}"), format!("is not a number from {least} to {most}")),
-    };
-    let text = |holder: &OwnedValue, key: &str, path: &str| match text_of(holder, key) {
-        Ok(Some(text)) => Ok(text.to_owned()),
-        Ok(None) => wrong(path, "is missing"),
-        Err(e) => wrong(path, e.problem),
-    };
-    let listen = address(&text(xds, "listen", "xds.listen")?, "xds.listen")?;
-    let open = xds.get("plaintext_beyond_loopback").and_then(|v| v.as_bool()).unwrap_or(false);
-    if !listen.ip().is_loopback() && !open {
-        let problem = "is beyond loopback, where anybody may listen in and ask; listen on 127.0.0.1, or say \
-                       `plaintext_beyond_loopback = true`";
-        return wrong("xds.listen", problem);
-    }
-    let mut listeners = Vec::new();
-    let list = match xds.get("listeners") {
-        None => &[][..],
-        Some(value) => match value.as_array() {
-            Some(list) => list.as_slice(),
-            None => return wrong("xds.listeners", "is not a list"),
-        },
-    };
-    for (i, listener) in list.iter().enumerate() {
-        let at = |key: &str| format!("xds.listeners[{i}].{key}");
-        let name = text(listener, "name", &at("name"))?;
-        if name.is_empty() || listeners.iter().any(|l: &Listener| l.name == name) {
-            return wrong(&at("name"), format!("is '{name}', which is empty or stands twice"));
-        }
-        let address = address(&text(listener, "address", &at("address"))?, &at("address"))?;
-        listeners.push(Listener { name, address });
-    }
-    let mut cold = None;
-    let request_ms = number("request_ms", 15_000.0, 1.0, 3_600_000.0)?;
-    if let Some(rule) = settings.cold {
-        let terms = ColdTerms {
-            fall_multiple: rule.fall_multiple,
-            fall_span_ms: rule.fall_span.as_millis(),
-            proxy_share: number("proxy_share", PROXY_SHARE, 0.0, 0.9)?,
-            instances: settings.gateways,
-            request_work_ms: number("request_work_ms", REQUEST_WORK_MS, 1.0, 3_600_000.0)?,
-        };
-        if terms.proxy_share > 0.0 && terms.proxy_share * terms.fall_multiple <= 1.0 {
-            let least = (100.0 / terms.fall_multiple).floor() + 1.0;
-            let problem = format!("leaves proxies nothing on cold engines; write 0% or {least}% and more");
-            return wrong("xds.proxy_share", problem);
-        }
-        if request_ms < terms.fall_span_ms {
-            let problem = format!("is under the {} ms of the rule on cold engines", terms.fall_span_ms);
-            return wrong("xds.request_ms", problem);
-        }
-        cold = Some(terms);
-    }
-    let terms = Terms {
-        cluster: control.cluster.clone(),
-        listeners,
-        request_ms,
-        connect_ms: number("connect_ms", DIAL_MS, 1.0, 60_000.0)?,
-        ttl_ms: number("ttl_ms", 5_000.0, 500.0, 3_600_000.0)?,
-        late_ms: number("late_ms", 10_000.0, 0.0, 3_600_000.0)?,
-        ack_ms: number("ack_ms", 30_000.0, 1_000.0, 3_600_000.0)?,
-        settle_ms: number("settle_ms", 2_000.0, 0.0, 3_600_000.0)?,
-        streams_most: number("streams_most", STREAMS_MOST, 1.0, 100_000.0)? as usize,
-        cold,
-    };
-    Ok(Service::new(listen, terms))
-}
-
-fn read_mysql(
-    mysql: &OwnedValue,
-    settings: &Settings,
-    env: &dyn Fn(&str) -> Option<String>,
-) -> Read<MysqlSettings> {
-    let inside = |e: ConfigError| ConfigError::new(format!("mysql.{}", e.key), e.problem);
-    let text = |key: &str| text_of(mysql, key).map_err(inside);
-    let needed = |key: &str| match text(key)? {
-        Some(text) => Ok(text.to_owned()),
-        None => wrong(&format!("mysql.{key}"), "is missing"),
-    };
-    let class = |name: &str, path: &str| match settings.classes.iter().position(|c| c.name == name) {
-        Some(place) => Ok(ClassId(place)),
-        None => wrong(path, format!("is '{name}', not a class of the settings")),
-    };
-    let password = |holder: &OwnedValue, key: &str, path: &str| match text_of(holder, key)? {
-        None => Ok(String::new()),
-        Some(name) => match env(name) {
-            Some(password) => Ok(password),
-            None => wrong(path, format!("names {name}, which is not set in the environment")),
-        },
-    };
-    let list = |key: &str| match mysql.get(key) {
-        None => Ok(&[][..]),
-        Some(value) => match value.as_array() {
-            Some(list) => Ok(list.as_slice()),
-            None => wrong(&format!("mysql.{key}"), "is not a list"),
-        },
-    };
-    let default_class = class(&needed("default_class")?, "mysql.default_class")?;
-    if settings.classes[default_class.0].repeat != Repeat::Unsafe {
-        return wrong("mysql.default_class", "may be run twice; what no rule knows must not be");
-    }
-    let mut accounts = Vec::new();
-    for (i, account) in list("accounts")?.iter().enumerate() {
-        let at = |key: &str| format!("mysql.accounts[{i}].{key}");
-        let Some(user) = text_of(account, "user")? else { return wrong(&at("user"), "is missing") };
-        let password = password(account, "password_env", &at("password_env"))?;
-        let tenant = text_of(account, "tenant")?.map(Arc::from);
-        if tenant.as_ref().is_some_and(|t| !settings.tenants.iter().any(|known| *known.name == **t)) {
-            return wrong(&at("tenant"), "is not a tenant of the settings");
-        }
-        accounts.push(Account { user: user.to_owned(), password, tenant });
-    }
-    let mut rules = Vec::new();
-    for (i, rule) in list("rules")?.iter().enumerate() {
-        let at = |key: &str| format!("mysql.rules[{i}].{key}");
-        let Some(name) = text_of(rule, "class")? else { return wrong(&at("class"), "is missing") };
-        let number = |key: &str| match rule.get(key) {
-            None => Ok(None),
-            Some(value) => match json::number(value).filter(|v| *v > 0.0) {
-                Some(value) => Ok(Some(value)),
-                None => wrong(&at(key), "is not a number above 0"),
-            },
-        };
-        rules.push(Rule {
-            verb: text_of(rule, "verb")?.map(str::to_uppercase),
-            mentions: text_of(rule, "mentions")?.map(str::to_lowercase),
-            class: class(name, &at("class"))?,
-            budget_ms: number("budget_ms")?,
-            work_ms: number("work_ms")?,
-            memory_mb: number("memory_mb")?,
-            order_by: match text_of(rule, "order_by")? {
-                None | Some("account") => OrderBy::Account,
-                Some("tables") => OrderBy::Tables,
-                Some("session") => OrderBy::Session,
-                Some(other) => {
-                    let problem = format!("is '{other}'; write account, tables or session");
-                    return wrong(&at("order_by"), problem);
-                }
-            },
-        });
-    }
-    let box_connections = match mysql.get("box_connections").map(json::number) {
-        None => BOX_CONNECTIONS,
-        Some(Some(most)) if most >= 1.0 => most as usize,
-        Some(_) => return wrong("mysql.box_connections", "is not a number from 1"),
-    };
-    Ok(MysqlSettings {
-        listen: address(&needed("listen")?, "mysql.listen")?,
-        accounts,
-        default_class,
-        rules,
-        box_user: needed("box_user")?,
-        box_password: password(mysql, "box_password_env", "mysql.box_password_env")?,
-        box_connections,
-    })
-}
-
-/// Reads `known`: the bulletin's events so far, in JSON.
-fn read_known(known: &OwnedValue) -> Read<Vec<News>> {
-    let Some(items) = known.get("items").and_then(|items| items.as_array()) else {
-        return wrong("known.items", "is not a list");
-    };
-    let mut news = Vec::new();
-    for (i, item) in items.iter().enumerate() {
-        let at = |key: &str| format!("known.items[{i}].{key}");
-        let Some(number) = item.get("no").and_then(|no| no.as_u64()) else {
-            return wrong(&at("no"), "is not a number");
-        };
-        let Some(roster) = item.get("roster") else { return wrong(&at("roster"), "is missing") };
-        let Some(targets) = roster.get("targets").and_then(|t| t.as_array()) else {
-            return wrong(&at("roster.targets"), "is not a list");
-        };
-        let whole = roster.get("all").and_then(|all| all.as_bool()).unwrap_or(false);
-        let mut listings = Vec::new();
-        for (j, target) in targets.iter().enumerate() {
-            listings.push(read_target(target, &format!("known.items[{i}].roster.targets[{j}]"))?);
-        }
-        let kind = match (whole, news.is_empty()) {
-            (true, true) => ListKind::Cached,
-            (true, false) => ListKind::Full,
-            (false, _) => ListKind::Changes,
-        };
-        news.push(News { number, kind, listings });
-    }
-    Ok(news)
-}
-
-fn read_target(target: &OwnedValue, path: &str) -> Read<Listing> {
-    let at = |key: &str| format!("{path}.{key}");
-    let text = |key: &str| match target.get(key).and_then(|v| v.as_str()) {
-        Some(text) => Ok(text),
-        None => wrong(&at(key), "is not a string"),
-    };
-    let number = |key: &str| target.get(key).and_then(json::number);
-    let state = match text("state")? {
-        "in_service" => MemberState::Serving,
-        "terminating" => MemberState::Draining,
-        "terminated" => MemberState::Gone,
-        other => return wrong(&at("state"), format!("is '{other}'")),
-    };
-    Ok(Listing {
-        address: address(text("endpoint")?, &at("endpoint"))?,
-        member: Member {
-            engine: EngineId(Arc::from(text("uid")?)),
-            zone: target.get("az").and_then(|v| v.as_str()).unwrap_or_default().to_owned(),
-            kind: target.get("model").and_then(|v| v.as_str()).unwrap_or_default().to_owned(),
-            size_hint: number("capacity_hint").unwrap_or(1.0),
-            cell: number("pod_group").unwrap_or(0.0) as u64,
-            started: number("boot_ms").filter(|ms| *ms > 0.0).map(super::clock::to_micros),
-            state,
-        },
-    })
-}
--- /dev/null
+++ b/src/node/config/mysql.rs
@@ -0,0 +1,153 @@
+//! What the operator's file says of the MySQL front and its boxes.
+
+use super::*;
+
+/// A client's account on the MySQL front.
+#[derive(Clone, PartialEq)]
+pub struct Account {
+    /// Its name.
+    pub user: String,
+    /// Its password; may be empty.
+    pub password: String,
+    /// The tenant that its requests belong to.
+    pub tenant: Option<Arc<str>>,
+}
+
+/// Gives a class to the statements that it fits; the first fitting rule counts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rule {
+    /// The statement's first word, in capitals.
+    pub verb: Option<String>,
+    /// A text that it holds, in small letters.
+    pub mentions: Option<String>,
+    /// The class.
+    pub class: ClassId,
+    /// How long the client is taken to wait, in milliseconds; the class's own time if absent.
+    pub budget_ms: Option<f64>,
+    /// Estimated work in milliseconds.
+    pub work_ms: Option<f64>,
+    /// Estimated memory in megabytes.
+    pub memory_mb: Option<f64>,
+    /// In a class that keeps order, what has a key in common.
+    pub order_by: OrderBy,
+}
+
+/// Which statements of a class that keeps order have a key in common: they run one after the other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum OrderBy {
+    /// All of one account, whatever the session: the widest, and so what holds where nothing is said.
+    #[default]
+    Account,
+    /// All that name one table group.
+    Tables,
+    /// Those of one session, which asks for one thing at a time: sessions do not wait for each other.
+    Session,
+}
+
+/// What the operator's file says of the MySQL front and its boxes.
+#[derive(Clone, PartialEq)]
+pub struct MysqlSettings {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Who may log in.
+    pub accounts: Vec<Account>,
+    /// The class of statements that no rule fits; it must never be run twice.
+    pub default_class: ClassId,
+    /// The rules, in order.
+    pub rules: Vec<Rule>,
+    /// The user as whom the node logs in at the boxes.
+    pub box_user: String,
+    /// Its password.
+    pub box_password: String,
+    /// Connections to one box.
+    pub box_connections: usize,
+}
+
+pub(super) fn read_mysql(
+    mysql: &OwnedValue,
+    settings: &Settings,
+    env: &dyn Fn(&str) -> Option<String>,
+) -> Read<MysqlSettings> {
+    let inside = |e: ConfigError| ConfigError::new(format!("mysql.{}", e.key), e.problem);
+    let text = |key: &str| text_of(mysql, key).map_err(inside);
+    let needed = |key: &str| match text(key)? {
+        Some(text) => Ok(text.to_owned()),
+        None => wrong(&format!("mysql.{key}"), "is missing"),
+    };
+    let class = |name: &str, path: &str| match settings.classes.iter().position(|c| c.name == name) {
+        Some(place) => Ok(ClassId(place)),
+        None => wrong(path, format!("is '{name}', not a class of the settings")),
+    };
+    let password = |holder: &OwnedValue, key: &str, path: &str| match text_of(holder, key)? {
+        None => Ok(String::new()),
+        Some(name) => match env(name) {
+            Some(password) => Ok(password),
+            None => wrong(path, format!("names {name}, which is not set in the environment")),
+        },
+    };
+    let list = |key: &str| match mysql.get(key) {
+        None => Ok(&[][..]),
+        Some(value) => match value.as_array() {
+            Some(list) => Ok(list.as_slice()),
+            None => wrong(&format!("mysql.{key}"), "is not a list"),
+        },
+    };
+    let default_class = class(&needed("default_class")?, "mysql.default_class")?;
+    if settings.classes[default_class.0].repeat != Repeat::Unsafe {
+        return wrong("mysql.default_class", "may be run twice; what no rule knows must not be");
+    }
+    let mut accounts = Vec::new();
+    for (i, account) in list("accounts")?.iter().enumerate() {
+        let at = |key: &str| format!("mysql.accounts[{i}].{key}");
+        let Some(user) = text_of(account, "user")? else { return wrong(&at("user"), "is missing") };
+        let password = password(account, "password_env", &at("password_env"))?;
+        let tenant = text_of(account, "tenant")?.map(Arc::from);
+        if tenant.as_ref().is_some_and(|t| !settings.tenants.iter().any(|known| *known.name == **t)) {
+            return wrong(&at("tenant"), "is not a tenant of the settings");
+        }
+        accounts.push(Account { user: user.to_owned(), password, tenant });
+    }
+    let mut rules = Vec::new();
+    for (i, rule) in list("rules")?.iter().enumerate() {
+        let at = |key: &str| format!("mysql.rules[{i}].{key}");
+        let Some(name) = text_of(rule, "class")? else { return wrong(&at("class"), "is missing") };
+        let number = |key: &str| match rule.get(key) {
+            None => Ok(None),
+            Some(value) => match json::number(value).filter(|v| *v > 0.0) {
+                Some(value) => Ok(Some(value)),
+                None => wrong(&at(key), "is not a number above 0"),
+            },
+        };
+        rules.push(Rule {
+            verb: text_of(rule, "verb")?.map(str::to_uppercase),
+            mentions: text_of(rule, "mentions")?.map(str::to_lowercase),
+            class: class(name, &at("class"))?,
+            budget_ms: number("budget_ms")?,
+            work_ms: number("work_ms")?,
+            memory_mb: number("memory_mb")?,
+            order_by: match text_of(rule, "order_by")? {
+                None | Some("account") => OrderBy::Account,
+                Some("tables") => OrderBy::Tables,
+                Some("session") => OrderBy::Session,
+                Some(other) => {
+                    let problem = format!("is '{other}'; write account, tables or session");
+                    return wrong(&at("order_by"), problem);
+                }
+            },
+        });
+    }
+    let box_connections = match mysql.get("box_connections").map(json::number) {
+        None => BOX_CONNECTIONS,
+        Some(Some(most)) if most >= 1.0 => most as usize,
+        Some(_) => return wrong("mysql.box_connections", "is not a number from 1"),
+    };
+    Ok(MysqlSettings {
+        listen: address(&needed("listen")?, "mysql.listen")?,
+        accounts,
+        default_class,
+        rules,
+        box_user: needed("box_user")?,
+        box_password: password(mysql, "box_password_env", "mysql.box_password_env")?,
+        box_connections,
+    })
+}
--- /dev/null
+++ b/src/node/exchange/mod.rs
@@ -0,0 +1,309 @@
+//! The core: requests, attempts and outcomes, and no wire. It keeps the table of open requests, drives the
+//! decision module, and owns two promises: one final answer for each request, and one attempt out at most.
+
+mod end;
+mod module;
+pub mod orders;
+pub mod request;
+mod seen;
+
+use super::clock::{from_micros, to_micros};
+use super::deadlines::{Deadlines, Handle, Wake};
+use super::slots::{Key, Slots};
+use crate::fleet::gate::Admitted;
+use crate::{
+    Action, Attempt, ClassId, Closed, EngineId, Event, Gateway, ListKind, LoadReport, Member, MemberState,
+    Micros, Note, Outcome, Repeat, Request, RequestId, Settings, SettingsError, TimerId, TrueCost,
+};
+pub use orders::*;
+pub use request::*;
+use seen::Seen;
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+use tracing::trace;
+
+/// The part of the log with a line for each step of each request: off unless asked for (`--log account=trace`).
+pub const ACCOUNT: &str = "account";
+
+/// After the client's deadline, an answer that is still owed is given this much later: the decision module has
+/// had its time-out by then, and the platform's grace is 20 ms.
+const LAST_WORD: f64 = 10.0;
+
+/// When a refused client is to come back, in milliseconds, where the decision module does not say.
+const BACKOFF: f64 = 1000.0;
+
+struct Out {
+    attempt: Attempt,
+    engine: EngineId,
+    since: f64,
+    due: Handle,
+}
+
+struct Open {
+    asker: Option<Asker>,
+    ask: Ask,
+    deadline: f64,
+    over: Option<Handle>,
+    attempts: u32,
+    /// Of these, those that went out.
+    sent: u32,
+    out: Option<Out>,
+    memory_mb: u64,
+    priority: u8,
+    may_have_run: bool,
+}
+
+impl Open {
+    /// Whether it has had all the attempts that its policy allows.
+    fn is_spent(&self) -> bool {
+        let most = self.ask.admitted.as_ref().and_then(|a| a.terms.attempts);
+        self.asker.is_some() && most.is_some_and(|most| self.sent >= most)
+    }
+}
+
+/// The table of open requests round the decision module.
+pub struct Exchange {
+    gateway: Gateway,
+    settings: Settings,
+    open_most: usize,
+    payload_most: usize,
+    payload: usize,
+    open: Slots<Open>,
+    names: HashMap<RequestId, Key>,
+    askers: HashMap<Asker, Key>,
+    seen: Seen,
+    /// Zones of engines, kept only where a fleet's policy may ask for them.
+    zones: Option<HashMap<EngineId, String>>,
+    /// When a planned end gives its last word; nothing is owed beyond.
+    last_word: f64,
+    orders: Vec<Order>,
+    logs: Vec<String>,
+}
+
+impl Exchange {
+    /// A core with no requests. It holds at most so many open, and so many bytes of what they are to run.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        open_most: usize,
+        payload_most: usize,
+    ) -> Result<Exchange, SettingsError> {
+        let gateway = Gateway::new(settings.clone(), seed)?;
+        Ok(Exchange {
+            seen: Seen::new(&settings),
+            gateway,
+            settings,
+            open_most,
+            payload_most,
+            payload: 0,
+            open: Slots::default(),
+            names: HashMap::new(),
+            askers: HashMap::new(),
+            zones: None,
+            last_word: f64::INFINITY,
+            orders: Vec::new(),
+            logs: Vec::new(),
+        })
+    }
+
+    /// What the decision module was told at the start.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// From now on requests may be bound by a policy that speaks of zones.
+    pub fn keep_zones(&mut self) {
+        self.zones = Some(HashMap::new());
+    }
+
+    /// Turns a request away before it is taken: nothing was run.
+    pub fn turn_away(&mut self, asker: Asker, backoff_ms: f64) {
+        self.orders.push(Order::Answer(asker, Answer::Refused { backoff_ms }));
+    }
+
+    /// Requests that are owed an answer, or still have an attempt out.
+    pub fn open_requests(&self) -> usize {
+        self.open.len()
+    }
+
+    /// The decision module, to look at.
+    pub fn gateway(&self) -> &Gateway {
+        &self.gateway
+    }
+
+    /// What is to be done, in order.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// The decision module's lines for the operators.
+    pub fn take_logs(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.logs)
+    }
+
+    /// Takes news in.
+    pub fn hear(&mut self, now: f64, heard: Heard, deadlines: &mut Deadlines) {
+        match heard {
+            Heard::Asked(ask) => self.asked(now, ask, deadlines),
+            Heard::Gone(asker) => {
+                let Some(key) = self.askers.remove(&asker) else { return };
+                let Some(open) = self.open.get_mut(key) else { return };
+                open.asker = None;
+                let id = RequestId(open.ask.name.clone());
+                self.tell(now, Event::Abandoned(id), deadlines);
+                self.forget(key, deadlines);
+            }
+            Heard::Ended(ended) => self.ended(now, ended, deadlines),
+            Heard::Noted(r, note) => {
+                let Some(open) = self.open.get(r.request) else { return };
+                let Some(out) = open.out.as_ref().filter(|out| out.attempt == r.attempt) else { return };
+                let (request, engine) = (RequestId(open.ask.name.clone()), out.engine.clone());
+                self.tell(now, Event::Noted { request, attempt: r.attempt, engine, note }, deadlines);
+            }
+            Heard::Members(kind, version, members) => {
+                if let Some(zones) = &mut self.zones {
+                    for m in &members {
+                        match m.state {
+                            MemberState::Gone => drop(zones.remove(&m.engine)),
+                            _ => drop(zones.insert(m.engine.clone(), m.zone.clone())),
+                        }
+                    }
+                }
+                self.tell(now, Event::Members { kind, version, members }, deadlines);
+            }
+        }
+    }
+
+    /// A timer of the decision module is up.
+    pub fn timer(&mut self, now: f64, timer: TimerId, deadlines: &mut Deadlines) {
+        self.tell(now, Event::Timer(timer), deadlines);
+    }
+
+    /// An attempt has had its time.
+    pub fn attempt_over(&mut self, now: f64, r: AttemptRef, deadlines: &mut Deadlines) {
+        let out = self.open.get(r.request).and_then(|open| open.out.as_ref());
+        if out.is_some_and(|out| out.attempt == r.attempt) {
+            self.orders.push(Order::GiveUp(r, false));
+            self.ended(now, Ended::bare(r, Outcome::TimedOut), deadlines);
+        }
+    }
+
+    /// A client has stopped waiting. The decision module has answered by now as a rule; if not, the core does.
+    pub fn request_over(&mut self, now: f64, key: Key, deadlines: &mut Deadlines) {
+        let Some(open) = self.open.get(key) else { return };
+        let id = RequestId(open.ask.name.clone());
+        // Before its time only a planned end cuts it off.
+        let cut = now < open.deadline;
+        let answer = if cut { self.given_up(key, BACKOFF) } else { Answer::TimedOut };
+        self.answer(key, answer);
+        self.tell(now, Event::Abandoned(id), deadlines);
+        self.forget(key, deadlines);
+    }
+
+    fn asked(&mut self, now: f64, ask: Ask, deadlines: &mut Deadlines) {
+        let id = RequestId(ask.name.clone());
+        let size = ask.payload.size();
+        let full = self.open.len() >= self.open_most || self.payload + size > self.payload_most;
+        let used = self.names.contains_key(&id) || self.askers.contains_key(&ask.asker);
+        let came = !self.seen.is_first(now, &ask.name) || used;
+        if full || came {
+            // Nothing is run for this request; but under a name that came before something may have been.
+            let backoff_ms = self.settings.retry_after.map_or(BACKOFF, from_micros);
+            let once = self.settings.classes[ask.class.0].repeat == Repeat::Unsafe;
+            let answer = if once && came { Answer::Failed } else { Answer::Refused { backoff_ms } };
+            self.orders.push(Order::Answer(ask.asker, answer));
+            return;
+        }
+        self.payload += size;
+        let deadline = ask.sent + ask.budget;
+        let request = Request {
+            id: id.clone(),
+            class: ask.class,
+            left: to_micros(deadline.min(self.last_word) - now),
+            tables: ask.tables,
+            work_hint: ask.work_ms.filter(|ms| *ms > 0.0).map(to_micros),
+            memory_hint_mb: ask.memory_mb.filter(|mb| *mb > 0.0),
+            key: ask.order.clone(),
+            tenant: ask.tenant.clone(),
+            repeat: false,
+        };
+        let asker = ask.asker;
+        let key = self.open.insert(Open {
+            asker: Some(asker),
+            ask,
+            deadline,
+            over: None,
+            attempts: 0,
+            sent: 0,
+            out: None,
+            memory_mb: 0,
+            priority: 1,
+            may_have_run: false,
+        });
+        if let Some(open) = self.open.get_mut(key) {
+            let over = (deadline + LAST_WORD).min(self.last_word.max(now));
+            open.over = Some(deadlines.set(over, Wake::RequestOver(key)));
+        }
+        trace!(target: ACCOUNT, "ask: id={} class={}", id.0, self.open.get(key).map_or(0, |o| o.ask.class.0));
+        self.names.insert(id, key);
+        self.askers.insert(asker, key);
+        self.tell(now, Event::Arrived(request), deadlines);
+    }
+
+    fn ended(&mut self, now: f64, ended: Ended, deadlines: &mut Deadlines) {
+        let Some(mut closed) = self.close_attempt(now, &ended, deadlines) else { return };
+        let (id, engine, outcome) = (&closed.request.0, &closed.engine.0, closed.outcome);
+        let ms = closed.latency.as_millis();
+        trace!(target: ACCOUNT, "end: id={id} engine={engine} outcome={outcome:?} ms={ms:.1}");
+        let key = ended.attempt.request;
+        if let Some(answer) = ended.answer {
+            self.answer(key, answer);
+        } else if self.open.get(key).is_some_and(|open| open.is_spent() || self.is_hopeless(now, open)) {
+            // Its policy allows no further attempt, or none could end before a planned end: it hears so at once.
+            let answer = self.given_up(key, BACKOFF);
+            self.answer(key, answer);
+            closed.request_over = true;
+        }
+        self.tell(now, Event::Closed(closed), deadlines);
+        self.forget(key, deadlines);
+    }
+
+    /// Takes an attempt out of the table; `None` if it is not out any more (a late line tells nothing).
+    fn close_attempt(&mut self, now: f64, ended: &Ended, deadlines: &mut Deadlines) -> Option<Closed> {
+        let open = self.open.get_mut(ended.attempt.request)?;
+        let out = open.out.take_if(|out| out.attempt == ended.attempt.attempt)?;
+        deadlines.clear(out.due);
+        open.may_have_run |= !ended.outcome.never_ran();
+        Some(Closed {
+            request: RequestId(open.ask.name.clone()),
+            attempt: out.attempt,
+            engine: out.engine,
+            outcome: ended.outcome,
+            latency: to_micros(now - out.since),
+            request_over: open.asker.is_none() || ended.answer.is_some(),
+            cost: ended.cost,
+            report: ended.report.clone(),
+        })
+    }
+
+    /// Gives a request its final answer, unless it had one or the client is gone.
+    fn answer(&mut self, key: Key, answer: Answer) {
+        let Some(asker) = self.open.get_mut(key).and_then(|open| open.asker.take()) else { return };
+        self.askers.remove(&asker);
+        if let Some(open) = self.open.get(key) {
+            trace!(target: ACCOUNT, "answer: id={} {}", open.ask.name, answer.word());
+        }
+        self.orders.push(Order::Answer(asker, answer));
+    }
+
+    /// Drops a request that is answered and has nothing out.
+    fn forget(&mut self, key: Key, deadlines: &mut Deadlines) {
+        let done = self.open.get(key).is_some_and(|open| open.asker.is_none() && open.out.is_none());
+        if let Some(open) = done.then(|| self.open.remove(key)).flatten() {
+            open.over.into_iter().for_each(|over| deadlines.clear(over));
+            self.names.remove(&RequestId(open.ask.name.clone()));
+            self.payload -= open.ask.payload.size();
+        }
+    }
+}
--- /dev/null
+++ b/src/node/exchange/module.rs
@@ -0,0 +1,145 @@
+//! Tells the decision module what happened, and does what it says.
+
+use super::*;
+
+impl Exchange {
+    /// Tells the decision module and does what it says; what its actions end at once is told it in turn.
+    pub(super) fn tell(&mut self, now: f64, event: Event, deadlines: &mut Deadlines) {
+        let mut events = VecDeque::from([event]);
+        let mut actions = Vec::new();
+        while let Some(event) = events.pop_front() {
+            self.gateway.handle(to_micros(now), event, &mut actions);
+            for action in actions.drain(..) {
+                if let Some(closed) = self.apply(now, action, deadlines) {
+                    events.push_back(Event::Closed(closed));
+                }
+            }
+        }
+    }
+
+    /// What a request that is given up hears. Guards against a load that may have run being sent again by its client
+    /// on our word.
+    pub(super) fn given_up(&self, key: Key, backoff_ms: f64) -> Answer {
+        let may_have_run = self.open.get(key).is_some_and(|open| {
+            let unsafe_class = self.settings.classes[open.ask.class.0].repeat == Repeat::Unsafe;
+            unsafe_class && (open.may_have_run || open.out.is_some())
+        });
+        if may_have_run {
+            Answer::Failed
+        } else {
+            Answer::Refused { backoff_ms }
+        }
+    }
+
+    pub(super) fn key(&self, id: &RequestId) -> Option<Key> {
+        self.names.get(id).copied()
+    }
+
+    pub(super) fn apply(&mut self, now: f64, action: Action, deadlines: &mut Deadlines) -> Option<Closed> {
+        match action {
+            Action::Send { request, engine, give_up_after } => {
+                self.send(now, request, engine, give_up_after, deadlines)
+            }
+            Action::Refuse { request, retry_after } => {
+                let key = self.key(&request)?;
+                let answer = self.given_up(key, retry_after.map_or(BACKOFF, from_micros));
+                self.answer(key, answer);
+                self.forget(key, deadlines);
+                None
+            }
+            Action::Fail { request } => {
+                let key = self.key(&request)?;
+                let late = self.open.get(key).is_some_and(|open| now >= open.deadline);
+                self.answer(key, if late { Answer::TimedOut } else { Answer::Failed });
+                self.forget(key, deadlines);
+                None
+            }
+            Action::Cancel { request, attempt } => {
+                let attempt = AttemptRef { request: self.key(&request)?, attempt };
+                let open = self.open.get(attempt.request)?;
+                let (again, ordered) = (open.asker.is_some(), open.ask.order.is_some());
+                let is_out = open.out.as_ref().is_some_and(|out| out.attempt == attempt.attempt);
+                if is_out && (again || ordered) {
+                    // It may be sent again, or the next of its key comes, but not before this one is over for sure:
+                    // its end comes from outside.
+                    self.orders.push(Order::GiveUp(attempt, true));
+                    return None;
+                }
+                let closed = self.close_attempt(now, &Ended::bare(attempt, Outcome::Cancelled), deadlines)?;
+                self.orders.push(Order::GiveUp(attempt, false));
+                self.forget(attempt.request, deadlines);
+                Some(closed)
+            }
+            Action::Terms { request, memory_mb, priority } => {
+                let key = self.key(&request)?;
+                let open = self.open.get_mut(key)?;
+                (open.memory_mb, open.priority) = (memory_mb, priority);
+                if let Some(out) = &open.out {
+                    let attempt = AttemptRef { request: key, attempt: out.attempt };
+                    self.orders.push(Order::Hurry(attempt, priority));
+                }
+                None
+            }
+            Action::CloseIdle(engine) => {
+                self.orders.push(Order::CloseIdle(engine));
+                None
+            }
+            Action::SetTimer { after, timer } => {
+                deadlines.set(now + from_micros(after), Wake::Module(timer));
+                None
+            }
+            Action::Log(text) => {
+                self.logs.push(text);
+                None
+            }
+            // Talk between front ends is not allowed, and the list comes by itself.
+            Action::Tell { .. } | Action::Subscribe(_) | Action::FetchList => None,
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        now: f64,
+        request: RequestId,
+        engine: EngineId,
+        give_up_after: Option<Micros>,
+        deadlines: &mut Deadlines,
+    ) -> Option<Closed> {
+        let key = self.key(&request)?;
+        let open = self.open.get_mut(key)?;
+        let attempt = Attempt(open.attempts);
+        open.attempts += 1;
+        let left = open.deadline - now;
+        let max_ms = give_up_after.map_or(left, |after| left.min(from_micros(after)));
+        // An engine that the request's own version leaves out is not for it, whatever the version of now says.
+        let barred = open.ask.admitted.as_ref().is_some_and(|a| {
+            let zone = self.zones.as_ref().and_then(|zones| zones.get(&engine)).map_or("", String::as_str);
+            a.ruling.leaves_out(&engine.0, zone)
+        });
+        // Guards: never two attempts out, nothing after the end, nothing without time left.
+        if open.out.is_some() || open.asker.is_none() || max_ms < 1.0 || barred {
+            let outcome = Outcome::Moot;
+            let (latency, request_over) = (Micros(0), open.asker.is_none());
+            let (cost, report) = (None, None);
+            return Some(Closed { request, attempt, engine, outcome, latency, request_over, cost, report });
+        }
+        let (class, work) = (open.ask.class.0, open.ask.work_ms.unwrap_or(0.0));
+        let (id, to, no) = (&request.0, &engine.0, attempt.0);
+        trace!(target: ACCOUNT, "send: id={id} class={class} engine={to} attempt={no} work={work:.0}");
+        open.sent += 1;
+        let due = deadlines.set(now + max_ms, Wake::AttemptOver(key, attempt));
+        open.out = Some(Out { attempt, engine: engine.clone(), since: now, due });
+        self.orders.push(Order::Start(Start {
+            attempt: AttemptRef { request: key, attempt },
+            front: open.ask.asker.front,
+            name: open.ask.name.clone(),
+            class: open.ask.class,
+            engine,
+            max_ms,
+            memory_mb: open.memory_mb,
+            priority: open.priority,
+            payload: open.ask.payload.clone(),
+        }));
+        None
+    }
+}
--- /dev/null
+++ b/src/node/exchange/orders.rs
@@ -0,0 +1,87 @@
+//! What the core orders of fronts and backends, and what it hears of them.
+
+use super::*;
+
+/// Names an attempt of an open request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptRef {
+    /// The request's slot.
+    pub request: Key,
+    /// Which attempt.
+    pub attempt: Attempt,
+}
+
+/// An attempt as a backend is handed it.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// Which attempt.
+    pub attempt: AttemptRef,
+    /// Which front the request came by: the engines of its kind are to run it.
+    pub front: Front,
+    /// The request's name.
+    pub name: Arc<str>,
+    /// Its class.
+    pub class: ClassId,
+    /// The engine.
+    pub engine: EngineId,
+    /// How long it may take, in milliseconds.
+    pub max_ms: f64,
+    /// Memory granted in megabytes; 0: the engine chooses.
+    pub memory_mb: u64,
+    /// Priority from 0 to 3.
+    pub priority: u8,
+    /// What to run.
+    pub payload: Rc<Payload>,
+}
+
+/// What the core wants done.
+#[derive(Clone, Debug)]
+pub enum Order {
+    /// Answer a client.
+    Answer(Asker, Answer),
+    /// Begin an attempt.
+    Start(Start),
+    /// Give an attempt up; if it is still owed an end, that is told when it is sure that the engine knows.
+    GiveUp(AttemptRef, bool),
+    /// Change an attempt's priority.
+    Hurry(AttemptRef, u8),
+    /// Give an engine's idle connections back.
+    CloseIdle(EngineId),
+}
+
+/// The end of an attempt, as a backend tells it.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// Which attempt.
+    pub attempt: AttemptRef,
+    /// What the end proves.
+    pub outcome: Outcome,
+    /// The answer for the client, where the box gave one: a result, or its own error.
+    pub answer: Option<Answer>,
+    /// What it took, where told.
+    pub cost: Option<TrueCost>,
+    /// The engine's load, where told.
+    pub report: Option<LoadReport>,
+}
+
+impl Ended {
+    /// An end that tells nothing more than its outcome.
+    pub fn bare(attempt: AttemptRef, outcome: Outcome) -> Ended {
+        Ended { attempt, outcome, answer: None, cost: None, report: None }
+    }
+}
+
+/// What fronts, backends and the bulletin tell the core.
+#[derive(Clone, Debug)]
+pub enum Heard {
+    /// A request came whole.
+    Asked(Ask),
+    /// A client gave its request up, or is gone.
+    Gone(Asker),
+    /// An attempt ended.
+    Ended(Ended),
+    /// News of a running attempt.
+    Noted(AttemptRef, Note),
+    /// The list of engines, or changes to it.
+    Members(ListKind, u64, Vec<Member>),
+}
--- a/src/node/front/jsonrpc.rs
+++ b/src/node/front/jsonrpc/mod.rs
@@ -1,5 +1,8 @@
 //! The platform's front: JSON-RPC 2.0 behind `Content-Length` heads.
 
+mod framing;
+mod message;
+
 use crate::node::backend::Cx;
 use crate::node::deadlines::{Handle, Wake};
 use crate::node::exchange::{Answer, Ask, Asker, Front, Heard, Payload};
@@ -9,6 +12,8 @@
 use crate::node::tables;
 use crate::{ClassId, Settings};
 use base64::prelude::{Engine as _, BASE64_STANDARD};
+use framing::{framed, Framed};
+use message::*;
 use mio::net::TcpStream;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -36,14 +41,6 @@
 const MOST_MB: f64 = 1e7; // memory, likewise: ten terabytes
 const LOG_MOST: u32 = 20; // lines on bad messages a second; the rest are counted
 
-const PARSE: (i32, &str) = (-32700, "Parse error");
-const INVALID: (i32, &str) = (-32600, "Invalid Request");
-const UNKNOWN: (i32, &str) = (-32601, "Method not found");
-const PARAMS: (i32, &str) = (-32602, "Invalid params");
-const REFUSED: i32 = -32011;
-const FAILED: i32 = -32010;
-const TIMED_OUT: i32 = -32012;
-
 struct Client {
     link: Link,
     open: HashSet<u64>,
@@ -95,55 +92,6 @@
     told: (u32, f64),
 }
 
-/// A message as far as the framing tells.
-enum Framed {
-    /// Not whole yet.
-    Part,
-    /// So many bytes, with the body from here to there.
-    Whole(usize, std::ops::Range<usize>),
-    /// Where the next message begins can't be told.
-    Lost,
-}
-
-fn framed(bytes: &[u8], message_most: usize) -> Framed {
-    let Some(end) = bytes.windows(4).take(HEAD_MOST).position(|w| w == b"\r\n\r\n") else {
-        return if bytes.len() >= HEAD_MOST { Framed::Lost } else { Framed::Part };
-    };
-    let Ok(head) = std::str::from_utf8(&bytes[..end]) else { return Framed::Lost };
-    let mut length = None;
-    for line in head.split("\r\n") {
-        let Some((name, value)) = line.split_once(':') else { return Framed::Lost };
-        if name.trim().eq_ignore_ascii_case("content-length") {
-            let digits = value.trim();
-            let plain = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
-            match digits.parse::<usize>().ok().filter(|l| plain && length.is_none() && *l <= message_most) {
-                Some(value) => length = Some(value),
-                None => return Framed::Lost,
-            }
-        }
-    }
-    let Some(length) = length else { return Framed::Lost };
-    let start = end + 4;
-    if bytes.len() < start + length {
-        return Framed::Part;
-    }
-    Framed::Whole(start + length, start..start + length)
-}
-
-/// What a message asks for.
-enum Asked {
-    Alive(u64),
-    Cancel(u64),
-    Run(u64, Box<Ask>),
-    /// A request under the number of one that is open.
-    Twice(u64),
-    /// A notification that tells nothing: no answer is owed, not even an error.
-    Nothing,
-}
-
-/// An error for the client: its request's number, if that could be read, and what is wrong.
-type Wrong = (Option<u64>, (i32, &'static str), &'static str);
-
 impl JsonRpc {
     /// A front without clients. What waits on all its connections is bounded by `total_most` bytes.
     pub fn new(settings: &Settings, total_most: usize) -> JsonRpc {
@@ -340,144 +288,6 @@
         cx.heard.extend(gone);
     }
 
-    /// Tells a client what is wrong with what it said.
-    fn wrong(&mut self, key: Key, (id, (code, name), why): Wrong, cx: &mut Cx) {
-        if cx.now - self.told.1 >= 1000.0 {
-            if self.told.0 > LOG_MOST {
-                cx.log.push(format!("bad message: {} more", self.told.0 - LOG_MOST));
-            }
-            self.told = (0, cx.now);
-        }
-        self.told.0 += 1;
-        if self.told.0 <= LOG_MOST {
-            cx.log.push(format!("bad message: code={code} {why}"));
-        }
-        let Some(client) = self.clients.get_mut(key) else { return };
-        let id = id.map_or("null".to_owned(), |id| id.to_string());
-        let message = json::quoted(&format!("{name}: {why}"));
-        let error = format!(r#"{{"code":{code},"message":{message}}}"#);
-        put(&mut client.link, &format!(r#"{{"jsonrpc":"2.0","id":{id},"error":{error}}}"#));
-    }
-
-    fn message(&mut self, key: Key, message: Vec<u8>, sent: f64, cx: &mut Cx) {
-        let asked = self.read(key, message, sent);
-        let Some(client) = self.clients.get_mut(key).filter(|client| client.leaving.is_none()) else {
-            return;
-        };
-        client.asked |= matches!(asked, Ok(Asked::Alive(_) | Asked::Cancel(_) | Asked::Run(..)));
-        match asked {
-            Ok(Asked::Nothing) => {}
-            Ok(Asked::Alive(id)) => {
-                put(&mut client.link, &format!(r#"{{"jsonrpc":"2.0","id":{id},"result":{{"pass":true}}}}"#));
-            }
-            Ok(Asked::Cancel(id)) => {
-                if client.open.remove(&id) {
-                    cx.heard.push(Heard::Gone(Asker { front: Front::JsonRpc, conn: key, id }));
-                }
-            }
-            Ok(Asked::Run(id, ask)) => {
-                client.open.insert(id);
-                cx.heard.push(Heard::Asked(*ask));
-            }
-            Ok(Asked::Twice(id)) => {
-                // Any answer under this number could be taken for that of the other request.
-                self.wrong(key, (Some(id), INVALID, "id is in use"), cx);
-                self.leave(key, cx);
-            }
-            Err(wrong) => self.wrong(key, wrong, cx),
-        }
-    }
-
-    fn read(&self, key: Key, message: Vec<u8>, sent: f64) -> Result<Asked, Wrong> {
-        let value = json::read(message).map_err(|_| (None, PARSE, "not JSON"))?;
-        let number = value.get("id").and_then(|id| id.as_u64()).filter(|id| *id > 0);
-        let wrong = |what, why| Err((number, what, why));
-        if value.get("jsonrpc").and_then(|v| v.as_str()) != Some("2.0") {
-            return wrong(INVALID, "jsonrpc is not 2.0");
-        }
-        let Some(method) = value.get("method").and_then(|m| m.as_str()) else {
-            return wrong(INVALID, "method is not a string");
-        };
-        let params = value.get("params");
-        let param = |name: &str| params.and_then(|p| p.get(name));
-        let notifies = value.get("id").is_none();
-        if method == "cancelRequest" {
-            let place = || params.and_then(|p| p.as_array()).and_then(|list| list.first());
-            return match param("id").or_else(place).and_then(|id| id.as_u64()) {
-                Some(id) => Ok(Asked::Cancel(id)),
-                None if notifies => Ok(Asked::Nothing),
-                None => wrong(PARAMS, "id is not a number"),
-            };
-        }
-        if notifies && !self.classes.contains_key(method) {
-            return Ok(Asked::Nothing);
-        }
-        let Some(id) = number else { return wrong(INVALID, "id is not a number from 1") };
-        if method == "alive" {
-            return Ok(Asked::Alive(id));
-        }
-        let Some(class) = self.classes.get(method) else { return wrong(UNKNOWN, "no such class") };
-        let client = self.clients.get(key);
-        if client.is_none_or(|client| client.open.contains(&id)) {
-            return Ok(Asked::Twice(id));
-        }
-        if client.is_none_or(|client| client.open.len() >= OPEN_MOST) {
-            return wrong(INVALID, "too many open requests");
-        }
-        let text = |name: &str| param(name).and_then(|v| v.as_str());
-        let hex = |n: &&str| n.len() == NAME_LENGTH && n.bytes().all(|b| b.is_ascii_hexdigit());
-        let Some(name) = text("rid").filter(hex) else { return wrong(PARAMS, "rid") };
-        let longest = self.budgets.get(class.0).copied().unwrap_or_default();
-        let Some(budget) = param("budget").and_then(json::number).filter(|ms| *ms > 0.0 && *ms <= longest)
-        else {
-            return wrong(PARAMS, "budget");
-        };
-        let estimate = |name: &str, most: f64| match param(name) {
-            None | Some(OwnedValue::Static(StaticNode::Null)) => Ok(None),
-            Some(v) => {
-                let within = json::number(v).filter(|v| (0.0..=most).contains(v));
-                within.map(Some).ok_or((number, PARAMS, "estimate"))
-            }
-        };
-        let (work_ms, memory_mb) = (estimate("est", MOST_MS)?, estimate("memory", MOST_MB)?);
-        let tenant = match param("acct") {
-            None | Some(OwnedValue::Static(StaticNode::Null)) => None,
-            Some(v) => match v.as_str().and_then(|name| self.tenants.get(name)) {
-                Some(name) => Some(name.clone()),
-                None => return wrong(PARAMS, "acct"),
-            },
-        };
-        // Without its key nobody can tell what it has to wait for: better not run than out of its turn.
-        let order = match self.ordered.get(class.0) {
-            Some(true) => {
-                let key = text("obj").filter(|key| (1..=KEY_MOST).contains(&key.len()));
-                let Some(key) = key else { return wrong(PARAMS, "obj") };
-                Some(Arc::from(key))
-            }
-            _ => None,
-        };
-        // A statement is text: an engine that can't read one closes, whatever else is open on that connection.
-        let statement = text("doc").and_then(|doc| BASE64_STANDARD.decode(doc).ok());
-        let Some(statement) = statement.filter(|s| !s.is_empty() && std::str::from_utf8(s).is_ok()) else {
-            return wrong(PARAMS, "doc");
-        };
-        let ask = Ask {
-            asker: Asker { front: Front::JsonRpc, conn: key, id },
-            name: Arc::from(name),
-            class: *class,
-            sent,
-            budget,
-            tables: tables::group(&statement).unwrap_or(0),
-            work_ms,
-            memory_mb,
-            tenant,
-            order,
-            payload: Rc::new(Payload { statement, ..Payload::default() }),
-            admitted: None,
-        };
-        Ok(Asked::Run(id, Box::new(ask)))
-    }
-
     /// Writes an answer, if its client still waits for it.
     pub fn answer(&mut self, asker: Asker, answer: &Answer, cx: &mut Cx) {
         let Some(client) = self.clients.get_mut(asker.conn) else { return };
--- /dev/null
+++ b/src/node/turns.rs
@@ -0,0 +1,191 @@
+//! One turn of the loop: sockets, deadlines, news, and the core's orders carried out.
+
+use super::*;
+
+impl Node {
+    /// One turn: waits for sockets or a deadline, handles all that there is. Under a set clock it waits for sockets
+    /// no longer than `most`, and for deadlines not at all.
+    pub fn turn(&mut self, most: Duration) -> io::Result<()> {
+        let from = self.clock.now();
+        let again = self.jsonrpc.take_again();
+        let due = self.deadlines.first().map_or(f64::INFINITY, |at| (at - from).max(0.0));
+        let most = if again.is_empty() { most } else { Duration::ZERO };
+        let wait = if self.clock.is_set() && due > 0.0 { most } else { most.min(millis(due)) };
+        match self.poll.poll(&mut self.events, Some(wait)) {
+            Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
+            other => other?,
+        }
+        let now = self.clock.now();
+        // What a poll finds at once may have come while the turn before was at work; what it waited for is fresh.
+        let sent = if now - from < 0.2 { from } else { now } - TRANSIT_MS;
+        let owners: Vec<Owner> = self.events.iter().filter_map(|event| Owner::of(event.token())).collect();
+        // Those that flood come last: whoever has something new to say is heard first.
+        for owner in owners.into_iter().chain(again.into_iter().map(Owner::JsonRpc)) {
+            let now = self.clock.now();
+            self.ready(owner, now, sent);
+        }
+        let now = self.clock.now();
+        while let Some(wake) = self.deadlines.pop(now) {
+            self.wake(wake, self.clock.now());
+        }
+        self.fleet();
+        self.feed();
+        Ok(())
+    }
+
+    pub(super) fn ready(&mut self, owner: Owner, now: f64, sent: f64) {
+        let mut heard = Vec::new();
+        if let Owner::Control(_) | Owner::Fixed(HTTP_LISTENER | AGENT_LISTENER) = owner {
+            return self.control_ready(owner, now);
+        }
+        let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, .. } = self;
+        let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log };
+        match owner {
+            Owner::Fixed(SIGNAL) => self.end(),
+            Owner::Fixed(RELOAD) => {} // Only ends the wait.
+            Owner::Fixed(LISTENER) => self.accept(Front::JsonRpc, now, sent, &mut heard),
+            Owner::Fixed(_) => self.accept(Front::Mysql, now, sent, &mut heard),
+            Owner::JsonRpc(key) => jsonrpc.ready(key, sent, &mut cx),
+            Owner::Warehouse(key) => warehouses.ready(key, &mut cx),
+            Owner::Bulletin(generation) => {
+                let news = bulletin.as_mut().map(|b| b.ready(now, generation)).unwrap_or_default();
+                self.news(news, &mut heard);
+            }
+            Owner::Mysql(key) => mysql.iter_mut().for_each(|(front, _)| front.ready(key, &mut cx)),
+            Owner::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.ready(key, &mut cx)),
+            Owner::Control(_) => {} // Handled above.
+        }
+        self.settle(heard);
+    }
+
+    pub(super) fn wake(&mut self, wake: Wake, now: f64) {
+        let mut heard = Vec::new();
+        let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, exchange, control, .. } = self;
+        let registry = poll.registry();
+        let mut cx = Cx { now, registry, deadlines, heard: &mut heard, log };
+        match wake {
+            Wake::Module(timer) => exchange.timer(now, timer, deadlines),
+            Wake::RequestOver(key) => exchange.request_over(now, key, deadlines),
+            Wake::AttemptOver(request, attempt) => {
+                exchange.attempt_over(now, AttemptRef { request, attempt }, deadlines);
+            }
+            Wake::Backend(key) => warehouses.look(key, &mut cx),
+            Wake::Bulletin => bulletin.iter_mut().for_each(|b| b.look(now, registry, deadlines)),
+            Wake::AcceptAgain => {
+                self.accept_paused = false;
+                self.accept(Front::JsonRpc, now, now - ACCEPT_PAUSE_MS, &mut heard);
+                self.accept(Front::Mysql, now, now, &mut heard);
+            }
+            Wake::Client(key) => jsonrpc.due(key, &mut cx),
+            Wake::Ending => self.look_at_end(now, &mut heard),
+            Wake::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.look(key, &mut cx)),
+            Wake::MysqlLogin(key) => {
+                mysql.iter_mut().for_each(|(front, _)| front.login_over(key, &mut cx));
+            }
+            Wake::Control(key) => control.look(key, &mut cx),
+            // Health and warmth change without any socket saying so; `feed` looks at them after each turn.
+            Wake::Xds => {
+                deadlines.set(now + control::xds::FEED_MS, Wake::Xds);
+            }
+            // `fleet` looks after each turn.
+            Wake::Fleet => self.gate_due = None,
+        }
+        self.settle(heard);
+    }
+
+    pub(super) fn accept(&mut self, front: Front, now: f64, sent: f64, heard: &mut Vec<Heard>) {
+        while !self.accept_paused {
+            let Node { poll, deadlines, log, jsonrpc, mysql, listeners, ending, .. } = self;
+            let Some((_, listener)) = listeners.iter().find(|(of, _)| *of == front) else { return };
+            let clients = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len());
+            let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
+            // Guards against clients that ask once and stay, or never ask: they make room for those that come.
+            let full = clients >= self.client_sockets && !jsonrpc.make_room(&mut cx);
+            let accepted = if full { Err(ErrorKind::QuotaExceeded.into()) } else { listener.accept() };
+            match accepted {
+                Ok((stream, _)) => {
+                    ending.iter_mut().for_each(|ending| ending.accepted(now));
+                    match (front, mysql) {
+                        (Front::Mysql, Some((mysql, _))) => mysql.accept(stream, &mut cx),
+                        _ => jsonrpc.accept(stream, sent, &mut cx),
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted || e.kind() == ErrorKind::ConnectionAborted => {}
+                Err(_) => {
+                    // Out of descriptors, or at the clients' part: those that wait stay in the system's line.
+                    self.accept_paused = true;
+                    self.deadlines.set(now + ACCEPT_PAUSE_MS, Wake::AcceptAgain);
+                }
+            }
+        }
+    }
+
+    pub(super) fn news(&mut self, news: Vec<News>, heard: &mut Vec<Heard>) {
+        let now = self.clock.now();
+        if !news.is_empty() {
+            self.xds.iter_mut().for_each(Feed::hurry);
+        }
+        for News { number, kind, listings } in news {
+            let Node { poll, deadlines, log, mysql, warehouses, .. } = self;
+            let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
+            warehouses.members(kind, &listings, &mut cx);
+            mysql.iter_mut().for_each(|(_, boxes)| boxes.members(kind, &listings, &mut cx));
+            for listing in &listings {
+                let m = &listing.member;
+                let (engine, address, state) = (&m.engine.0, listing.address, m.state);
+                self.log.push(format!("list: no={number} engine={engine} address={address} state={state:?}"));
+            }
+            let members: Vec<_> = listings.into_iter().map(|listing| listing.member).collect();
+            let members = match &mut self.gate {
+                Some(gate) => gate.offer(kind != crate::ListKind::Changes, members),
+                None => members,
+            };
+            heard.push(Heard::Members(kind, number, members));
+        }
+    }
+
+    /// Lets the core hear what came, and carries its orders out, until nothing is left.
+    pub(super) fn settle(&mut self, mut heard: Vec<Heard>) {
+        loop {
+            let now = self.clock.now();
+            for heard in heard.drain(..) {
+                let heard = if self.gate.is_some() { self.admit(heard) } else { Some(heard) };
+                let heard = heard.into_iter();
+                heard.for_each(|heard| self.exchange.hear(now, heard, &mut self.deadlines));
+            }
+            self.log.append(&mut self.exchange.take_logs());
+            let orders = self.exchange.take_orders();
+            if orders.is_empty() {
+                return;
+            }
+            let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, .. } = self;
+            let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log };
+            for order in orders {
+                match (order, mysql.as_mut()) {
+                    (Order::Answer(asker, answer), Some((front, _))) if asker.front == Front::Mysql => {
+                        front.answer(asker, answer, &mut cx);
+                    }
+                    (Order::Answer(asker, answer), _) => jsonrpc.answer(asker, &answer, &mut cx),
+                    (Order::Start(start), Some((_, boxes))) if start.front == Front::Mysql => {
+                        boxes.start(start, &mut cx);
+                    }
+                    (Order::Start(start), _) => warehouses.start(start, &mut cx),
+                    // A pool passes over attempts and engines that are not its own.
+                    (Order::GiveUp(attempt, again), boxes) => {
+                        let boxes = boxes.filter(|(_, boxes)| boxes.carries(attempt));
+                        match boxes {
+                            Some((_, boxes)) => boxes.give_up(attempt, again, &mut cx),
+                            None => warehouses.give_up(attempt, again, &mut cx),
+                        }
+                    }
+                    (Order::Hurry(attempt, priority), _) => warehouses.hurry(attempt, priority, &mut cx),
+                    (Order::CloseIdle(engine), boxes) => {
+                        warehouses.close_idle(&engine, &mut cx);
+                        boxes.into_iter().for_each(|(_, boxes)| boxes.close_idle(&engine, &mut cx));
+                    }
+                }
+            }
+        }
+    }
+}
--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -5,12 +5,15 @@
 //! for anything), `close`, `wait` (milliseconds, or `silent`: nothing has come).
 #![allow(dead_code)]
 
+pub mod peer;
+
 use base64::prelude::{Engine as _, BASE64_STANDARD};
 use beamgap::node::clock::Clock;
 use beamgap::node::config::Config;
 use beamgap::node::exchange::Front;
 use beamgap::node::json::{self, *};
 use beamgap::node::Node;
+pub use peer::*;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -29,138 +32,7 @@
  "Contract":{"DrainGrace":250},"Limits":{"Cancel":true,"DialTimeout":250,"ConnIdle":15000,"SendCap":6},
  "Report":{"How":"inline","Fields":["outstanding"]}}"#;
 
-const LIMITS: &str = r#"{"cores":1,"memory_mb":192,"sockets":1024}"#;
-
-/// A connection of the test's side, with what has come on it.
-pub struct Peer {
-    stream: TcpStream,
-    pub input: Vec<u8>,
-    pub closed: bool,
-}
-
-impl Peer {
-    pub fn new(stream: TcpStream) -> Peer {
-        stream.set_nonblocking(true).unwrap();
-        // Under a clock that is set, the system's wait for an acknowledgement could be seconds.
-        stream.set_nodelay(true).unwrap();
-        Peer { stream, input: Vec::new(), closed: false }
-    }
-    pub fn pull(&mut self) {
-        let mut chunk = [0; 65_536];
-        loop {
-            match self.stream.read(&mut chunk) {
-                Ok(0) => return self.closed = true,
-                Ok(n) => self.input.extend_from_slice(&chunk[..n]),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => return self.closed = true,
-            }
-        }
-    }
-    pub fn push(&mut self, bytes: &[u8]) {
-        self.push_while(bytes, || {});
-    }
-    /// Writes all, letting the other side work where it must read first. What has been closed takes nothing.
-    fn push_while(&mut self, mut bytes: &[u8], mut work: impl FnMut()) {
-        while !bytes.is_empty() {
-            match self.stream.write(bytes) {
-                Ok(n) => bytes = &bytes[n..],
-                Err(e) if e.kind() == ErrorKind::WouldBlock => work(),
-                Err(_) => return,
-            }
-        }
-    }
-    /// The next line, with its body if the last word is a length.
-    fn line(&mut self) -> Option<String> {
-        let end = self.input.windows(2).position(|w| w == b"\r\n")?;
-        let line = String::from_utf8(self.input[..end].to_vec()).unwrap();
-        let (head, length) = line.rsplit_once(' ').unwrap_or((&line, ""));
-        let body = if line.starts_with("want ") { length.parse::<usize>().ok() } else { None };
-        let Some(length) = body else {
-            self.input.drain(..end + 2);
-            return Some(line);
-        };
-        let body = self.input.get(end + 2..end + 2 + length)?;
-        let whole = format!("{head} {}", String::from_utf8_lossy(body));
-        self.input.drain(..end + 4 + length);
-        Some(whole)
-    }
-    /// The next JSON-RPC message: `ID served TEXT`, `ID error CODE [backoff]`, or what else it holds.
-    pub fn message(&mut self) -> Option<String> {
-        let end = self.input.windows(4).position(|w| w == b"\r\n\r\n")?;
-        let head = String::from_utf8(self.input[..end].to_vec()).unwrap();
-        let length: usize = head.strip_prefix("Content-Length: ").unwrap().parse().unwrap();
-        let body = self.input.get(end + 4..end + 4 + length)?.to_vec();
-        self.input.drain(..end + 4 + length);
-        let text = String::from_utf8(body.clone()).unwrap();
-        let value = json::read(body).expect("an answer is JSON");
-        let id = value.get("id").and_then(|id| id.as_u64()).map_or("null".into(), |id| id.to_string());
-        if let Some(error) = value.get("error") {
-            let backoff = error.get("data").and_then(|d| d.get("backoff")).and_then(json::number);
-            let backoff = if backoff.is_some_and(|ms| ms > 0.0) { " backoff" } else { "" };
-            return Some(format!("{id} error {}{backoff}", error.get("code").unwrap().as_i64().unwrap()));
-        }
-        match value.get("result").and_then(|r| r.get("doc")).and_then(|doc| doc.as_str()) {
-            Some(doc) => {
-                let body = BASE64_STANDARD.decode(doc).unwrap();
-                Some(format!("{id} served {}", String::from_utf8(body).unwrap()))
-            }
-            None => Some(text),
-        }
-    }
-}
-
-/// The request id that stands for a name of the scenarios, such as `c1-2`: its letters as 16 hex digits.
-pub fn rid(name: &str) -> String {
-    let digits: String = name.bytes().map(|b| format!("{b:02x}")).collect();
-    format!("{digits:0<16}")
-}
-
-/// Puts names in the place of request ids, as the scenarios write them.
-fn named(line: &str) -> String {
-    let name = |word: &str| {
-        let digits = word.len() == 16 && word.bytes().all(|b| b.is_ascii_hexdigit());
-        let bytes = (0..8).map_while(|i| u8::from_str_radix(word.get(2 * i..2 * i + 2)?, 16).ok());
-        let text = bytes.take_while(|b| *b != 0).map(char::from).collect();
-        if digits {
-            text
-        } else {
-            word.to_owned()
-        }
-    };
-    line.split(' ').map(name).collect::<Vec<String>>().join(" ")
-}
-
-/// Whether a text is as the pattern says; `*` stands for anything.
-pub fn fits(pattern: &str, text: &str) -> bool {
-    match pattern.split_once('*') {
-        None => pattern == text,
-        Some((head, rest)) => text.strip_prefix(head).is_some_and(|text| {
-            rest.is_empty() || (0..=text.len()).any(|i| text.is_char_boundary(i) && fits(rest, &text[i..]))
-        }),
-    }
-}
-
-pub struct House {
-    pub listener: TcpListener,
-    pub conns: Vec<Peer>,
-}
-
-impl House {
-    pub fn new() -> House {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listener.set_nonblocking(true).unwrap();
-        House { listener, conns: Vec::new() }
-    }
-    pub fn address(&self) -> SocketAddr {
-        self.listener.local_addr().unwrap()
-    }
-    pub fn pull(&mut self) {
-        while let Ok((stream, _)) = self.listener.accept() {
-            self.conns.push(Peer::new(stream));
-        }
-        self.conns.iter_mut().for_each(Peer::pull);
-    }
-}
+pub const LIMITS: &str = r#"{"cores":1,"memory_mb":192,"sockets":1024}"#;
 
 pub struct Stage {
     pub node: Node,
@@ -330,6 +202,12 @@
         peer.push(format!("Content-Length: {}\r\n\r\n{message}", message.len()).as_bytes());
     }
 
+    /// A client's next answer, if there is one.
+    pub fn message(&mut self, client: &str) -> Option<String> {
+        self.turn();
+        self.clients.get_mut(client).and_then(Peer::message)
+    }
+
     /// Whether a client has another answer.
     pub fn answered(&mut self, client: &str) -> bool {
         self.clients.get_mut(client).is_some_and(|peer| peer.message().is_some())
@@ -402,12 +280,6 @@
     }
 }
 
-impl Peer {
-    pub fn address(&self) -> SocketAddr {
-        self.stream.peer_addr().unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 0)))
-    }
-}
-
 impl Stage {
     /// Tells of a change of this house, whoever spoke last.
     pub fn tell_of(&mut self, house: usize, text: &str) {
