Late dials: what waits behind one goes by a connection of its engine that is up

Cause: a dial that is not up after 250 ms ended its request's attempt as `ConnectFailed` (`look` and `lose` in the warehouse pool), which is what an engine that takes no connection shows: the module then takes the engine for started anew and cold for some 15 s, and after two for lost. Ruled out: refused dials (they come at once and still count) and engines that are cut off (nothing is heard of them).

Change: after 80 ms what waits behind a dial goes on by another connection of the engine that is up, where a byte came on it no earlier than 250 ms before the dial; the dial goes on. A dial that has had its time fails its attempt only where the engine was not heard of so lately; else it is tried elsewhere, twice at most, as after a connection that broke.

--- a/src/node/backend/roster.rs
+++ b/src/node/backend/roster.rs
@@ -17,6 +17,8 @@
     pub links: Vec<Key>,
     /// How long a connection to it may be quiet and still be used, and until when that is believed.
     pub keeps: Option<(f64, f64)>,
+    /// When a byte last came from it, on any connection.
+    pub heard: f64,
 }
 
 /// The engines by id. An address may pass from one id to another; nothing is keyed by it.
@@ -35,7 +37,7 @@
         for listing in listings {
             let (address, state) = (listing.address, listing.member.state);
             let id = &listing.member.engine;
-            let new = || Engine { address, state, links: Vec::new(), keeps: None };
+            let new = || Engine { address, state, links: Vec::new(), keeps: None, heard: f64::NEG_INFINITY };
             let engine = self.0.entry(id.clone()).or_insert_with(new);
             if engine.address != address {
                 stale.extend(&engine.links);
@@ -69,6 +71,11 @@
         keeps.map_or(f64::INFINITY, |(ms, _)| ms)
     }
 
+    /// When a byte last came from an engine, on any connection.
+    pub fn heard(&self, id: &EngineId) -> f64 {
+        self.0.get(id).map_or(f64::NEG_INFINITY, |engine| engine.heard)
+    }
+
     /// An engine, whatever its state.
     pub fn get_mut(&mut self, id: &EngineId) -> Option<&mut Engine> {
         self.0.get_mut(id)
--- a/src/node/backend/warehouse/dial.rs
+++ b/src/node/backend/warehouse/dial.rs
@@ -46,6 +46,7 @@
             engine: id.clone(),
             link,
             up: false,
+            late: false,
             since,
             heard,
             next_look: None,
@@ -65,10 +66,48 @@
             self.lose(key, Outcome::ConnectFailed, cx);
             return None;
         }
-        self.conns.get_mut(key)?.look_at(cx.now + self.dial_ms, key, cx.deadlines);
+        self.conns.get_mut(key)?.look_at(cx.now + self.dial_ms.min(LATE_MS), key, cx.deadlines);
         Some(key)
     }
 
+    /// A dial that is not up yet. What waits behind it goes on by a connection that is, if there is one: that one dial
+    /// is late says nothing of an engine that talks on another. After the time for connecting it has failed.
+    pub(super) fn look_at_dial(&mut self, key: Key, cx: &mut Cx) {
+        let Some(conn) = self.conns.get_mut(key) else { return };
+        let since = conn.since;
+        if cx.now - since >= self.dial_ms {
+            conn.late = true;
+            return self.lose(key, Outcome::ConnectFailed, cx);
+        }
+        conn.look_at(since + self.dial_ms, key, cx.deadlines);
+        let (engine, wants) = (conn.engine.clone(), std::mem::take(&mut conn.wants));
+        for want in wants {
+            let to = self.in_use(&engine, &want, since - LIFE_MS).unwrap_or(key);
+            self.hand_over(want, to, cx);
+        }
+    }
+
+    /// Of an engine's connections that are up and have carried something since then, the least loaded that fits.
+    pub(super) fn in_use(&self, id: &EngineId, want: &Want, since: f64) -> Option<Key> {
+        let fits = |conn: &Conn| {
+            let clean = !conn.spent.contains(&want.name) && !conn.open.contains_key(&want.name);
+            let lives = conn.up && conn.heard >= since && conn.asked.is_none();
+            lives && clean && conn.load() < self.streams && conn.spent.len() < SPENT_MOST
+        };
+        let links = self.roster.links(id).iter().copied();
+        let fitting =
+            links.filter_map(|key| self.conns.get(key).filter(|conn| fits(conn)).map(|c| (c.load(), key)));
+        fitting.min_by_key(|(load, _)| *load).map(|(_, key)| key)
+    }
+
+    /// Puts a `want` of which no byte is written onto another connection.
+    pub(super) fn hand_over(&mut self, want: Want, to: Key, cx: &mut Cx) {
+        let Some(conn) = self.conns.get_mut(to) else { return };
+        self.placed.insert(want.at, (to, want.name.clone()));
+        conn.wants.push_back(want);
+        self.flush(to, cx);
+    }
+
     /// Guards against connections that die unseen while they are quiet, as behind a box that forgets them: the next
     /// request on such a one is reset at once, read or not. What one showed holds for the engine's others.
     pub(super) fn learn_keeps(&mut self, key: Key, cx: &mut Cx) {
--- a/src/node/backend/warehouse/mod.rs
+++ b/src/node/backend/warehouse/mod.rs
@@ -35,6 +35,8 @@
 const SPENT_MOST: usize = 512; // names given up on one connection; beyond, it is left to run dry
 const LINKS_MOST: usize = 12; // connections to one warehouse: as many as a node has attempts there, as a rule
 const CONFIRM_MS: f64 = 100.0; // that a cancel waits for its confirmation: a machine that is cut off gives none
+const LATE_MS: f64 = 80.0; // that a dial may take before what waits behind it looks for another connection
+const LIFE_MS: f64 = 250.0; // before a late dial began, in which a byte of the engine still says that it lives
 const MOVES_MOST: u8 = 2; // connections that a `want` may lose before a byte of it is written
 
 #[derive(Debug)]
@@ -60,6 +62,8 @@
     engine: EngineId,
     link: Link,
     up: bool,
+    /// It did not come up in its time.
+    late: bool,
     since: f64,
     heard: f64,
     next_look: Option<Handle>,
@@ -278,14 +282,18 @@
         let mut ends: Vec<_> = conn.open.into_values().map(|a| (a.at, outcome)).chain(called_off).collect();
         for mut want in conn.wants {
             want.moves += 1;
-            let serves = conn.up && want.moves <= MOVES_MOST && self.roster.serving(&conn.engine).is_some();
-            let to = if serves { self.choose(&conn.engine, &want.name, want.once, cx) } else { None };
-            match to.and_then(|key| Some((key, self.conns.get_mut(key)?))) {
-                Some((key, next)) => {
-                    self.placed.insert(want.at, (key, want.name.clone()));
-                    next.wants.push_back(want);
-                    self.flush(key, cx);
-                }
+            // Of a late dial likewise, where the engine was heard of on another connection meanwhile.
+            let lives = conn.up || (conn.late && self.roster.heard(&conn.engine) >= conn.since - LIFE_MS);
+            let serves = lives && want.moves <= MOVES_MOST && self.roster.serving(&conn.engine).is_some();
+            let to = match serves {
+                true if conn.late => self.in_use(&conn.engine, &want, conn.since - LIFE_MS),
+                _ => None,
+            };
+            let choose =
+                |pool: &mut Warehouses, cx: &mut Cx| pool.choose(&conn.engine, &want.name, want.once, cx);
+            let to = if serves && to.is_none() { choose(self, cx) } else { to };
+            match to {
+                Some(key) => self.hand_over(want, key, cx),
                 None => ends.push((want.at, Outcome::ConnectFailed)),
             }
         }
@@ -299,10 +307,7 @@
     pub fn look(&mut self, key: Key, cx: &mut Cx) {
         let Some(conn) = self.conns.get_mut(key) else { return };
         if !conn.up {
-            if cx.now - conn.since >= self.dial_ms {
-                self.lose(key, Outcome::ConnectFailed, cx);
-            }
-            return;
+            return self.look_at_dial(key, cx);
         }
         while let Some((_, at, _)) = conn.called_off.pop_front_if(|(.., since)| cx.now - *since >= CONFIRM_MS)
         {
--- a/src/node/backend/warehouse/talk.rs
+++ b/src/node/backend/warehouse/talk.rs
@@ -38,6 +38,8 @@
             let end = conn.link.read(BODY_MOST + 2 * LINE_MOST);
             if conn.link.input.len() > before {
                 (conn.heard, conn.used, conn.quiet, conn.asked) = (cx.now, cx.now, 0.0, None);
+                let engine = self.roster.get_mut(&conn.engine);
+                engine.into_iter().for_each(|engine| engine.heard = cx.now);
             }
             let input = std::mem::take(&mut conn.link.input);
             let mut used = 0;
--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -202,6 +202,21 @@
         peer.push(format!("Content-Length: {}\r\n\r\n{message}", message.len()).as_bytes());
     }
 
+    /// Lets the node alone work: engines take no connection meanwhile.
+    pub fn node_turns(&mut self, turns: usize) {
+        (0..turns).for_each(|_| self.node.turn(Duration::from_millis(1)).expect("the loop goes on"));
+        self.houses.iter_mut().flat_map(|house| &mut house.conns).for_each(Peer::pull);
+    }
+
+    /// Likewise while time passes.
+    pub fn pass_node(&mut self, ms: f64) {
+        let until = self.clock.now() + ms;
+        while self.clock.now() < until {
+            self.clock.set((self.clock.now() + 10.0).min(until));
+            self.node_turns(1);
+        }
+    }
+
     /// A client's next answer, if there is one.
     pub fn message(&mut self, client: &str) -> Option<String> {
         self.turn();
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -208,3 +208,51 @@
         }
     }
 }
+
+/// Has an engine's listener take no further connection: dials come up late, or never.
+fn fill(stage: &Stage, house: usize) -> Vec<std::net::TcpStream> {
+    rustix::net::listen(&stage.houses[house].listener, 0).expect("its line is cut to the shortest");
+    let address = stage.houses[house].address();
+    let wait = std::time::Duration::from_millis(50);
+    let dials = (0..4).map(|_| std::net::TcpStream::connect_timeout(&address, wait));
+    let up: Vec<_> = dials.filter_map(Result::ok).collect();
+    assert!(up.len() < 4, "the line is full");
+    up
+}
+
+#[test]
+fn what_waits_behind_a_late_dial_goes_by_a_connection_that_is_up() {
+    // Guards against engines taken for lost, and then for cold, as some of their connections come up late.
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c1-1 *
+        w send c1-1 update remark=so_far,v=0.1",
+    );
+    (0..5).for_each(|_| stage.turn());
+    let _full = fill(&stage, 0);
+    // One is under way on the only connection, so the next dials; the dial does not come up.
+    stage.node_turns(5);
+    stage.go("c1 send ask 2 lookup 2500 select 2 from s_1.t");
+    stage.node_turns(5);
+    assert_eq!(stage.houses[0].conns[0].line(), None, "it waits behind its dial");
+    stage.pass_node(90.0);
+    let came = stage.houses[0].conns[0].line();
+    let rid = stage::rid("c1-2");
+    assert!(
+        came.is_some_and(|line| line.starts_with(&format!("want {rid} "))),
+        "it goes by the one that is up"
+    );
+    stage.go("w send c1-2 served pages=1 x\\t\\t\\n\nc1 expect 2 served x\\t\\t\\n");
+}
+
+#[test]
+fn a_late_dial_to_an_engine_that_says_nothing_else_has_failed_in_its_time() {
+    let mut stage = Stage::play(1, "clock wait 10");
+    let _full = fill(&stage, 0);
+    stage.go("c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)");
+    stage.node_turns(5);
+    stage.pass_node(2500.0);
+    let told = stage.node.take_log();
+    assert!(told.iter().any(|line| line.contains("connections fail")), "{told:?}");
+}
