--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -41,7 +41,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EngineId(pub Arc<str>);
 
-/// The number of an attempt of one request, from 0 in the order of its [`Action::Send`]s.
+/// The number of an attempt of one request, from 0 in the order of its [`Action::Send`](crate::Action::Send)s.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Attempt(pub u32);
 
@@ -102,7 +102,7 @@
         /// What, 256 bytes at most.
         data: Vec<u8>,
     },
-    /// Come back with [`Event::Timer`] after this long.
+    /// Come back with [`Event::Timer`](crate::Event::Timer) after this long.
     SetTimer {
         /// How long from now.
         after: Micros,
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -92,7 +92,7 @@
 /// A kind of machine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct KindSettings {
-    /// Its name, as in [`Member::kind`].
+    /// Its name, as in [`Member::kind`](crate::Member::kind).
     pub name: String,
     /// Cores, if known.
     pub cores: Option<f64>,
@@ -103,7 +103,7 @@
 /// A tenant and what it is entitled to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TenantSettings {
-    /// Its name, as in [`Request::tenant`].
+    /// Its name, as in [`Request::tenant`](crate::Request::tenant).
     pub name: String,
     /// Requests a second inside its share, over all gateways; `None` for no bound.
     pub quota_per_s: Option<f64>,
@@ -136,7 +136,7 @@
 pub enum Discovery {
     /// Changes come by themselves.
     Pushed,
-    /// Changes come after [`Action::Subscribe`] or [`Action::FetchList`] only.
+    /// Changes come after [`Action::Subscribe`](crate::Action::Subscribe) or [`Action::FetchList`](crate::Action::FetchList) only.
     Subscribed {
         /// Whoever has not asked for this long counts as told.
         ask_within: Micros,
@@ -195,11 +195,11 @@
     pub send_cap: Option<u32>,
     /// Whether a request may have two attempts out at once.
     pub second_copies: bool,
-    /// Whether [`Action::Cancel`] is allowed.
+    /// Whether [`Action::Cancel`](crate::Action::Cancel) is allowed.
     pub cancel: bool,
-    /// Whether [`Action::Tell`] is allowed.
+    /// Whether [`Action::Tell`](crate::Action::Tell) is allowed.
     pub peers: bool,
-    /// The longest [`Action::Refuse`] advice that clients heed; `None` where none is given.
+    /// The longest [`Action::Refuse`](crate::Action::Refuse) advice that clients heed; `None` where none is given.
     pub retry_after: Option<Micros>,
     /// Bound on further attempts, where one is stated.
     pub budget: Option<AttemptBudget>,
@@ -209,9 +209,9 @@
     pub drain_grace: Micros,
     /// Rest of a key after an attempt whose end is not sure.
     pub key_rest: Micros,
-    /// Whether the memory in [`Action::Terms`] is heeded.
+    /// Whether the memory in [`Action::Terms`](crate::Action::Terms) is heeded.
     pub grants: bool,
-    /// Whether the priority in [`Action::Terms`] is heeded.
+    /// Whether the priority in [`Action::Terms`](crate::Action::Terms) is heeded.
     pub priorities: bool,
     /// What happens when grants pass an engine's memory.
     pub when_short: WhenShort,
