--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -136,7 +136,8 @@
 pub enum Discovery {
     /// Changes come by themselves.
     Pushed,
-    /// Changes come after [`Action::Subscribe`](crate::Action::Subscribe) or [`Action::FetchList`](crate::Action::FetchList) only.
+    /// Changes come after [`Action::Subscribe`](crate::Action::Subscribe) or
+    /// [`Action::FetchList`](crate::Action::FetchList) only.
     Subscribed {
         /// Whoever has not asked for this long counts as told.
         ask_within: Micros,
@@ -199,7 +200,8 @@
     pub cancel: bool,
     /// Whether [`Action::Tell`](crate::Action::Tell) is allowed.
     pub peers: bool,
-    /// The longest [`Action::Refuse`](crate::Action::Refuse) advice that clients heed; `None` where none is given.
+    /// The longest [`Action::Refuse`](crate::Action::Refuse) advice that clients heed; `None` where none is
+    /// given.
     pub retry_after: Option<Micros>,
     /// Bound on further attempts, where one is stated.
     pub budget: Option<AttemptBudget>,
@@ -254,7 +256,8 @@
         }
     }
 
-    /// What a kind of machine has: its place in [`Settings::kinds`] (behind the last if it is not there), its cores, and
+    /// What a kind of machine has: its place in [`Settings::kinds`] (behind the last if it is not there),
+    /// its cores, and
     /// its memory in megabytes; where none are stated, a small machine's.
     pub fn machine(&self, kind: &str) -> (usize, f64, f64) {
         let place = self.kinds.iter().position(|k| k.name == kind).unwrap_or(self.kinds.len());
