--- a/crates/rig/src/acts.rs
+++ b/crates/rig/src/acts.rs
@@ -1,6 +1,6 @@
 //! The judge of acts: what the targets saw, against the promises of `docs/leases.md`, by their numbers. Pure.
 
-use crate::checker::{broken, Break};
+use crate::breaks::{broken, Break};
 use crate::history::{Event, What};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 //! tasks in [`acts`].
 
 pub mod acts;
+pub mod breaks;
 pub mod case;
 pub mod checker;
 pub mod client;
--- a/crates/rig/tests/checker.rs
+++ b/crates/rig/tests/checker.rs
@@ -1,6 +1,7 @@
 //! The judge on made-up histories: good ones pass, and each kind of break is seen, with its promise and its excerpt.
 
-use beamgap_rig::checker::{judge, Break, Law, Version};
+use beamgap_rig::breaks::Break;
+use beamgap_rig::checker::{judge, Law, Version};
 use beamgap_rig::history::{Event, What};
 
 fn law() -> Law {
