--- a/crates/policy/src/check.rs
+++ b/crates/policy/src/check.rs
@@ -14,27 +14,37 @@
     pub zones: Vec<String>,
 }
 
-/// Reads a policy and checks that it can be used here. Engines are not checked: they come and go while a policy stands.
+/// Reads a policy and checks that it can be used here.
 pub fn usable(file: &str, text: &str, known: &Known) -> Result<Read, Vec<Problem>> {
     let read = document::read(file, text)?;
+    let problems = faults(&read, known);
+    if problems.is_empty() {
+        Ok(read)
+    } else {
+        Err(problems)
+    }
+}
+
+/// A name that is not known here: what is wrong, and the known one that is near to it.
+pub fn unknown(file: &str, place: Place, what: &str, name: &str, names: &[String]) -> Option<Problem> {
+    if names.iter().any(|known| known == name) {
+        return None;
+    }
+    let near = names.iter().map(|known| (distance(known, name), known)).min();
+    let fix = match near.filter(|(far, known)| *far <= 1 + known.len() / 3) {
+        Some((_, known)) => format!("did you mean `{known}`?"),
+        None => format!("known here: {}", names.join(", ")),
+    };
+    let (file, key) = (file.to_owned(), format!("{what} \"{name}\""));
+    Some(Problem { file, place, key, problem: format!("is no {what} of this front end"), fix })
+}
+
+/// Why a policy can't be used here. Engines are not checked: they come and go while a policy stands.
+pub fn faults(read: &Read, known: &Known) -> Vec<Problem> {
+    let file = &read.document.file;
     let mut problems = Vec::new();
     let mut unknown = |list: &str, label: &str, what: &str, name: &str, names: &[String]| {
-        if names.iter().any(|known| known == name) {
-            return;
-        }
-        let at = place(&read, list, label, name);
-        let near = names.iter().map(|known| (distance(known, name), known)).min();
-        let fix = match near.filter(|(far, known)| *far <= 1 + known.len() / 3) {
-            Some((_, known)) => format!("did you mean `{known}`?"),
-            None => format!("known here: {}", names.join(", ")),
-        };
-        problems.push(Problem {
-            file: file.to_owned(),
-            place: at,
-            key: format!("{what} \"{name}\""),
-            problem: format!("is no {what} of this front end"),
-            fix,
-        });
+        problems.extend(unknown(file, place(read, list, label, name), what, name, names));
     };
     read.policy.classes.keys().for_each(|n| unknown("classes", "name", "class", n, &known.classes));
     read.policy.accounts.keys().for_each(|n| unknown("accounts", "name", "account", n, &known.accounts));
@@ -43,18 +53,14 @@
         known.zones.iter().map(|z| read.policy.zones.get(z).copied().unwrap_or(1.0)).collect();
     if !zones.is_empty() && zones.iter().all(|weight| *weight == 0.0) {
         problems.push(Problem {
-            file: file.to_owned(),
+            file: file.clone(),
             place: Place { line: 1, column: 1 },
             key: "zone".to_owned(),
             problem: "weights are 0% for every zone of this front end".to_owned(),
             fix: "leave one zone above 0%, or refuse the classes instead".to_owned(),
         });
     }
-    if problems.is_empty() {
-        Ok(read)
-    } else {
-        Err(problems)
-    }
+    problems
 }
 
 fn place(read: &Read, list: &str, label: &str, name: &str) -> Place {
--- a/crates/policy/src/document.rs
+++ b/crates/policy/src/document.rs
@@ -108,6 +108,11 @@
 
 /// Reads a policy. All faults are told, each with its place and its fix.
 pub fn read(file: &str, text: &str) -> Result<Read, Vec<Problem>> {
+    read_with(file, text, Vec::new())
+}
+
+/// Reads a policy in which other parts of the program have blocks of their own, which they read from the document.
+pub fn read_with(file: &str, text: &str, others: Vec<Block>) -> Result<Read, Vec<Problem>> {
     let fault = |key: &str, problem: String, fix: &str| {
         let (file, place) = (file.to_owned(), Place { line: 1, column: 1 });
         vec![Problem { file, place, key: key.to_owned(), problem, fix: fix.to_owned() }]
@@ -119,7 +124,9 @@
         let fix = "update this front end's program, or write the policy in the older form";
         return Err(fault("form", format!("is {form}; this program reads up to {FORM}"), fix));
     }
-    let document = beamgap_config::read(file, text, &schema())?;
+    let mut schema = schema();
+    schema.blocks.extend(others);
+    let document = beamgap_config::read(file, text, &schema)?;
     let mut problems = Vec::new();
     let policy = Reader { document: &document, problems: &mut problems }.policy();
     if problems.is_empty() {
--- a/crates/rig/src/checker.rs
+++ b/crates/rig/src/checker.rs
@@ -17,6 +17,8 @@
     pub attempts: Option<usize>,
     /// Engines that it leaves out.
     pub left_out: BTreeSet<String>,
+    /// Whether it has budgets.
+    pub budgets: bool,
 }
 
 /// What the judge goes by.
@@ -47,6 +49,8 @@
     pub gap: f64,
     /// What the fleet's tasks came to.
     pub acts: crate::acts::Acts,
+    /// What came of the fleet's budgets, where the world has some.
+    pub shared: Vec<crate::shared::Seen>,
 }
 
 /// Judges a history; events in order of time.
--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -28,14 +28,27 @@
 pub struct Client {
     target: Arc<Mutex<Option<SocketAddr>>>,
     ended: Arc<AtomicBool>,
+    /// Microseconds between two requests.
+    every: Arc<AtomicU64>,
+    /// Whose requests it sends: 0 both accounts' in turn, 1 the first's, 2 the second's.
+    whose: Arc<AtomicU64>,
+    /// The work that its requests are told to be.
+    work: Duration,
     /// What became of its requests.
     pub tally: Arc<Tally>,
 }
 
 impl Client {
     /// A client of a member, that asks each so often: a look-up, and a delivery-load in each tenth turn.
-    pub fn start(member: &str, number: u64, every: Duration, history: History) -> Client {
-        let client = Client { target: Arc::default(), ended: Arc::default(), tally: Arc::default() };
+    pub fn start(member: &str, number: u64, every: Duration, work: Duration, history: History) -> Client {
+        let client = Client {
+            target: Arc::default(),
+            ended: Arc::default(),
+            every: Arc::new(AtomicU64::new(every.as_micros() as u64)),
+            whose: Arc::default(),
+            work,
+            tally: Arc::default(),
+        };
         let (of, member) = (client.clone(), member.to_owned());
         std::thread::spawn(move || {
             let mut next = number << 32;
@@ -44,7 +57,7 @@
                 let stream =
                     target.and_then(|at| TcpStream::connect_timeout(&at, Duration::from_secs(1)).ok());
                 match stream {
-                    Some(stream) => drop(of.ask(&member, stream, &mut next, every, &history)),
+                    Some(stream) => drop(of.ask(&member, stream, &mut next, &history)),
                     None => std::thread::sleep(Duration::from_millis(20)),
                 }
             }
@@ -57,19 +70,18 @@
         *lock(&self.target) = target;
     }
 
+    /// How often it asks from now on, and for whom: 0 both accounts in turn, 1 the first, 2 the second.
+    pub fn wants(&self, every: Duration, whose: u64) {
+        self.every.store(every.as_micros() as u64, Relaxed);
+        self.whose.store(whose, Relaxed);
+    }
+
     /// Ends it.
     pub fn stop(&self) {
         self.ended.store(true, Relaxed);
     }
 
-    fn ask(
-        &self,
-        member: &str,
-        mut stream: TcpStream,
-        next: &mut u64,
-        every: Duration,
-        history: &History,
-    ) -> Option<()> {
+    fn ask(&self, member: &str, mut stream: TcpStream, next: &mut u64, history: &History) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         stream.set_write_timeout(Some(Duration::from_millis(200))).ok()?;
         let (read, tally, notes) = (stream.try_clone().ok()?, self.tally.clone(), history.clone());
@@ -88,9 +100,14 @@
             let (name, group) = (["lookup", "delivery-load"][class], *next % 7);
             let verb = ["select 1 from", "insert into"][class];
             let doc = BASE64_STANDARD.encode(format!("{verb} s_{group}.t"));
-            let account = ["leinster", "munster"][(*next % 2) as usize];
+            let whose = match self.whose.load(Relaxed) {
+                0 => *next % 2,
+                one => one - 1,
+            };
+            let account = ["leinster", "munster"][whose as usize];
+            let est = self.work.as_secs_f64() * 1000.0;
             let body = format!(
-                r#"{{"jsonrpc":"2.0","id":{id},"method":"{name}","params":{{"rid":"{rid}","budget":2500,"acct":"{account}","est":20.0,"memory":8,"doc":"{doc}"}}}}"#
+                r#"{{"jsonrpc":"2.0","id":{id},"method":"{name}","params":{{"rid":"{rid}","budget":2500,"acct":"{account}","est":{est:.1},"memory":8,"doc":"{doc}"}}}}"#
             );
             let message = format!("Content-Length: {}\r\n\r\n{body}", body.len());
             history.note(now(), What::Sent { member: member.to_owned(), id: rid, class });
@@ -98,7 +115,7 @@
                 break;
             }
             self.tally.sent.fetch_add(1, Relaxed);
-            due += every;
+            due += Duration::from_micros(self.every.load(Relaxed));
             std::thread::sleep(due.saturating_duration_since(Instant::now()));
         }
         let _ = stream.shutdown(std::net::Shutdown::Write);
--- a/crates/rig/src/engine.rs
+++ b/crates/rig/src/engine.rs
@@ -17,6 +17,8 @@
     pub address: SocketAddr,
     /// Every so many requests it answers with an error; 0: never.
     pub fails: Arc<AtomicU64>,
+    /// How long it takes for a request, in milliseconds.
+    pub takes: Arc<AtomicU64>,
     ended: Arc<AtomicBool>,
 }
 
@@ -25,13 +27,15 @@
     pub fn start(number: u32, takes: Duration, history: History) -> std::io::Result<Engine> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let (fails, ended) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
-        let engine = Engine { id: format!("s-{number:08x}"), address: listener.local_addr()?, fails, ended };
+        let takes = Arc::new(AtomicU64::new(takes.as_millis() as u64));
+        let (id, address) = (format!("s-{number:08x}"), listener.local_addr()?);
+        let engine = Engine { id, address, fails, takes, ended };
         let of = engine.clone();
         std::thread::spawn(move || {
             while !of.ended.load(Relaxed) {
                 if let Ok((stream, _)) = listener.accept() {
                     let (of, history) = (of.clone(), history.clone());
-                    std::thread::spawn(move || of.serve(stream, takes, &history));
+                    std::thread::spawn(move || of.serve(stream, &history));
                 }
             }
         });
@@ -45,7 +49,7 @@
     }
 
     /// Reads requests until the connection ends.
-    fn serve(&self, stream: TcpStream, takes: Duration, history: &History) -> Option<()> {
+    fn serve(&self, stream: TcpStream, history: &History) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         stream.set_read_timeout(Some(Duration::from_secs(30))).ok()?;
         let mut write = stream.try_clone().ok()?;
@@ -62,7 +66,9 @@
                     let mut body = vec![0; length.parse::<usize>().ok()? + 2];
                     read.read_exact(&mut body).ok()?;
                     history.note(now(), What::Came { engine: self.id.clone(), id: id.to_owned() });
-                    std::thread::sleep(takes);
+                    std::thread::sleep(Duration::from_millis(self.takes.load(Relaxed)));
+                    // Whoever asked may be gone by now: the work was done all the same.
+                    history.note(now(), What::Left { engine: self.id.clone(), id: id.to_owned() });
                     number += 1;
                     let fails = self.fails.load(Relaxed);
                     let text = if fails > 0 && number.is_multiple_of(fails) {
--- a/crates/rig/src/faults.rs
+++ b/crates/rig/src/faults.rs
@@ -37,6 +37,8 @@
     Propose(usize),
     /// An operator goes back.
     Rollback,
+    /// A member's client asks so often from now on, in milliseconds between two requests, for one account or both (0).
+    Demand(usize, u64, u64),
 }
 
 /// A fault and when it comes, in milliseconds from the start of traffic.
@@ -118,6 +120,19 @@
     steps
 }
 
+/// A plan as [`plan`] draws it, in which demand moves between members.
+pub fn plan_shared(seed: u64, members: usize, span: u64) -> Vec<Step> {
+    let mut steps = plan(seed, members, span);
+    let mut draw = Draw::new(seed ^ 0x5eed_5eed);
+    for turn in 0..span / 500 {
+        let who = draw.below(members as u64) as usize;
+        let every = [2, 8, 30, 200][draw.below(4) as usize];
+        steps.push(Step { at: turn * 500 + 100, fault: Fault::Demand(who, every, draw.below(3)) });
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 fn is_change(fault: &Fault) -> bool {
     matches!(fault, Fault::Propose(_) | Fault::Rollback)
 }
@@ -127,6 +142,6 @@
         Fault::Kill(m) | Fault::Start(m) | Fault::Stop(m) | Fault::Wake(m) => *m == who,
         Fault::Fill(m) | Fault::Room(m) | Fault::Links(m, ..) | Fault::Mend(m) => *m == who,
         Fault::Deciders(m, _) | Fault::Unsynced(m) | Fault::Synced(m) => *m == who,
-        Fault::Propose(_) | Fault::Rollback | Fault::Outage | Fault::Power => false,
+        Fault::Propose(_) | Fault::Rollback | Fault::Outage | Fault::Power | Fault::Demand(..) => false,
     }
 }
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -25,6 +25,8 @@
         class: usize,
         /// The version.
         version: u64,
+        /// Its account.
+        account: String,
     },
     /// A member turned a request away.
     Refuse {
@@ -51,6 +53,20 @@
         /// Of which request.
         id: String,
     },
+    /// An engine was through with an attempt.
+    Left {
+        /// Which engine.
+        engine: String,
+        /// Of which request.
+        id: String,
+    },
+    /// A member has a further attempt of a request go out.
+    Further {
+        /// Which member.
+        member: String,
+        /// Which request.
+        id: String,
+    },
     /// A client sent a request.
     Sent {
         /// To which member.
@@ -152,8 +168,9 @@
         let version = field("v").parse().unwrap_or(u64::MAX);
         let id = field("id").to_owned();
         let what = match kind {
-            "admit" => What::Admit { member, id, class, version },
+            "admit" => What::Admit { member, id, class, version, account: field("account").to_owned() },
             "refuse" => What::Refuse { member, id, why: field("why").to_owned() },
+            "further" => What::Further { member, id },
             "look" => {
                 let token = field("token").parse().unwrap_or(0);
                 What::Look { member, task: field("task").to_owned(), token }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,7 +2,7 @@
 //! seed, and a pure checker that judges what was written down. For tests and for trying out; nothing that serves uses it.
 //!
 //! Start at [`world::World`]; faults are in [`faults`], the judge in [`checker`], that of
-//! tasks in [`acts`].
+//! tasks in [`acts`], that of budgets in [`shared`].
 
 pub mod acts;
 pub mod breaks;
@@ -14,6 +14,7 @@
 pub mod history;
 pub mod process;
 pub mod relay;
+pub mod shared;
 pub mod target;
 pub mod world;
 
--- a/crates/rig/src/world/files.rs
+++ b/crates/rig/src/world/files.rs
@@ -26,6 +26,15 @@
         self.folder.join(format!("policy-{number}.hcl"))
     }
 
+    /// Writes a policy of a case's own, and gives its file.
+    pub fn write_policy(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.folder.join(format!("policy-{name}.hcl"));
+        if let Err(e) = std::fs::write(&path, text) {
+            self.history.note(now(), What::Fault(format!("{}: {e}", path.display())));
+        }
+        path
+    }
+
     /// The folder of a decider.
     pub fn disk(&self, me: usize) -> PathBuf {
         self.folder.join(format!("disk-{me}"))
--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -6,14 +6,14 @@
 mod troubles;
 mod verdict;
 
-pub use seeds::play_seed;
+pub use seeds::{play_seed, play_shared_seed};
 
 use crate::acts::{judge_acts, Acts, TaskLaw};
 use crate::breaks::Break;
 use crate::checker::{judge, Law, Summary, Version};
 use crate::client::Client;
 use crate::engine::Engine;
-use crate::faults::{plan, Fault, Step};
+use crate::faults::{plan, plan_shared, Fault, Step};
 use crate::history::{History, What};
 use crate::now;
 use crate::process::Process;
@@ -48,6 +48,12 @@
     pub every: Duration,
     /// Engines.
     pub engines: u32,
+    /// How long each takes for a request; the last holds for all further ones.
+    pub takes: Vec<Duration>,
+    /// The work that clients tell of their requests.
+    pub work: Duration,
+    /// What stands in each of the policies beside what is theirs.
+    pub common: String,
     /// Whether members form a fleet; if not, the policy is off.
     pub fleet: bool,
     /// Whether members write down what they admit.
@@ -70,6 +76,9 @@
             check: 600,
             every: Duration::from_millis(15),
             engines: 3,
+            takes: vec![Duration::from_millis(4)],
+            work: Duration::from_millis(20),
+            common: String::new(),
             fleet: true,
             history: true,
             odd: None,
@@ -80,13 +89,14 @@
 }
 
 /// Policies that operators propose, by number.
-pub const POLICIES: [&str; 6] = [
+pub const POLICIES: [&str; 7] = [
     "form = 1\nclass \"delivery-load\" {\n  refused = true\n}\n",
     "form = 1\nengine \"s-00000001\" {\n  left_out = true\n}\n",
     "form = 1\nclass \"lookup\" {\n  attempts = 1\n}\n",
     "form = 1\naccount \"leinster\" {\n  share = \"50%\"\n}\n",
     "form = 1\nengine \"s-00000002\" {\n  left_out = true\n}\nclass \"lookup\" {\n  attempts = 2\n}\n",
     "form = 1\ntask \"feed\" {\n  forbidden = true\n}\n",
+    "form = 1\n",
 ];
 
 /// A fleet.
@@ -119,8 +129,11 @@
         std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
         let history = History::default();
         let failed = |e: std::io::Error| e.to_string();
-        let takes = Duration::from_millis(4);
-        let engines = (1..=options.engines).map(|n| Engine::start(n, takes, history.clone()));
+        let takes = |n: u32| {
+            let takes = options.takes.get(n as usize - 1).or(options.takes.last()).copied();
+            takes.unwrap_or(Duration::from_millis(4))
+        };
+        let engines = (1..=options.engines).map(|n| Engine::start(n, takes(n), history.clone()));
         let engines = engines.collect::<Result<Vec<_>, _>>().map_err(failed)?;
         let mut relays = BTreeMap::new();
         // The operator's own links are those of one more member.
@@ -153,11 +166,12 @@
         let block = format!("{}{tasks}}}\n", block.trim_end().trim_end_matches('}'));
         std::fs::write(world.folder.join("operator.hcl"), block).map_err(failed)?;
         for (number, text) in POLICIES.iter().enumerate() {
-            std::fs::write(world.policy(number), text).map_err(failed)?;
+            std::fs::write(world.policy(number), format!("{text}{}", world.options.common))
+                .map_err(failed)?;
         }
         for me in 0..world.options.members {
-            let client =
-                Client::start(&format!("n{me}"), me as u64 + 1, world.options.every, world.history.clone());
+            let Options { every, work, .. } = world.options;
+            let client = Client::start(&format!("n{me}"), me as u64 + 1, every, work, world.history.clone());
             world.clients.push(client);
         }
         for me in 0..world.options.members {
--- a/crates/rig/src/world/seeds.rs
+++ b/crates/rig/src/world/seeds.rs
@@ -1,6 +1,7 @@
 //! A whole world played from a seed.
 
 use super::*;
+use crate::shared::{judge_shared, Bound};
 
 /// Tasks of a world that is played from a seed: one that must not be repeated, one that may.
 const TASKS: &str = r#"
@@ -22,22 +23,76 @@
   }
 "#;
 
+/// Budgets of a world in which demand moves: a rate of one account, and a stock that one slow engine holds for long.
+const BUDGETS: &str = r#"
+budget "leinster" {
+  limits      = "requests"
+  account     = "leinster"
+  rate        = 60
+  burst       = 30
+  floor       = "40%"
+  floor_among = 8
+}
+budget "look-ups" {
+  limits  = "open"
+  class   = "lookup"
+  most    = 12
+  longest = "6 s"
+}
+"#;
+
+fn bounds(law: &Law) -> Vec<Bound> {
+    let versions = law.versions.iter().filter(|(_, v)| v.budgets).map(|(number, _)| *number);
+    let versions: BTreeSet<u64> = versions.collect();
+    let leinster = Bound { account: "leinster".to_owned(), rate: Some((60.0, 30.0)), ..Bound::default() };
+    let looks = Bound { class: Some(0), most: Some(12), ..Bound::default() };
+    [leinster, looks].map(|bound| Bound { versions: versions.clone(), ..bound }).to_vec()
+}
+
 /// Plays a whole world from a seed; the error tells the seed and the plan.
 pub fn play_seed(binary: &Path, seed: u64, trials: &[String]) -> Result<Summary, String> {
     let members = 4 + (seed % 3) as usize;
-    let steps = plan(seed, members, 5000);
+    played(binary, seed, trials, plan(seed, members, 5000), Options { members, ..Options::default() })
+}
+
+/// The same with budgets in each policy, and demand that moves between members.
+pub fn play_shared_seed(binary: &Path, seed: u64, trials: &[String]) -> Result<Summary, String> {
+    let members = 4 + (seed % 3) as usize;
+    let takes = [4, 4, 600].map(Duration::from_millis).to_vec();
+    let options = Options { members, takes, common: BUDGETS.to_owned(), ..Options::default() };
+    played(binary, seed, trials, plan_shared(seed, members, 5000), options)
+}
+
+fn played(
+    binary: &Path,
+    seed: u64,
+    trials: &[String],
+    steps: Vec<Step>,
+    options: Options,
+) -> Result<Summary, String> {
+    let shared = !options.common.is_empty();
+    let (test, kind) = if shared { ("shared_seeds", "shared") } else { ("seeds_of", "seed") };
     let told = steps.iter().map(Step::to_string).collect::<Vec<_>>().join("\n  ");
-    let again = format!("seed {seed}, {members} members; play again: RIG_SEEDS={seed} cargo test --test fleet_seeds\n  {told}");
+    let again = format!(
+        "seed {seed}, {} members; play again: RIG_SEEDS={seed} cargo test --test fleet_seeds {test}\n  {told}",
+        options.members
+    );
     let run = || {
-        let options =
-            Options { members, trials: trials.to_vec(), tasks: TASKS.to_owned(), ..Options::default() };
-        let mut world = World::start(binary, &format!("seed-{seed}"), options)?;
+        let options = Options { trials: trials.to_vec(), tasks: TASKS.to_owned(), ..options };
+        let mut world = World::start(binary, &format!("{kind}-{seed}"), options)?;
         for words in [&["task", "apply"][..], &["task", "run", "once"], &["task", "run", "again"]] {
             let output = world.operate(words);
             if !output.status.success() {
                 return Err(format!("{words:?}: {}", String::from_utf8_lossy(&output.stderr)));
             }
         }
+        if shared {
+            let file = world.policy(POLICIES.len() - 1);
+            let words = ["policy", "propose", &file.to_string_lossy(), "--json", "--wait", "20"];
+            if world.change(&words).0 != 0 {
+                return Err("the budgets did not come into force".to_owned());
+            }
+        }
         world.play(&steps)?;
         world.mend();
         world.join();
@@ -55,7 +110,13 @@
             ends.or_else(|late| world.judge_tasks(&names, &["again"]).and(Err(late)))?;
         }
         let acts = world.judge_tasks(&names, &["again"])?;
-        Ok(Summary { acts, ..world.judge()? })
+        let law = world.law()?;
+        let summary = Summary { acts, ..world.judge()? };
+        let shared = match shared {
+            true => judge_shared(&world.history.all(), &bounds(&law)).map_err(|b: Break| b.to_string())?,
+            false => Vec::new(),
+        };
+        Ok(Summary { shared, ..summary })
     };
     run().map_err(|e: String| format!("{e}\n{again}"))
 }
--- a/crates/rig/src/world/troubles.rs
+++ b/crates/rig/src/world/troubles.rs
@@ -94,6 +94,9 @@
                 let file = file.to_string_lossy();
                 self.change_later(&["policy", "propose", &file, "--json", "--wait", "20"]);
             }
+            Fault::Demand(m, every, whose) => {
+                self.clients[*m].wants(Duration::from_millis(*every), *whose);
+            }
             Fault::Rollback => self.change_later(&["policy", "rollback", "--json", "--wait", "20"]),
         }
         Ok(())
--- a/crates/rig/src/world/verdict.rs
+++ b/crates/rig/src/world/verdict.rs
@@ -127,6 +127,7 @@
             version.left_out.insert(engine.to_owned());
         }
     }
+    version.budgets = text.contains("budget \"");
     version.attempts = match text.split("attempts = ").nth(1) {
         Some(rest) => rest.split_whitespace().next().and_then(|n| n.parse().ok()),
         None => None,
--- a/crates/rig/tests/checker.rs
+++ b/crates/rig/tests/checker.rs
@@ -18,7 +18,16 @@
 }
 
 fn admit(t: f64, member: &str, id: &str, class: usize, version: u64) -> Event {
-    at(t, What::Admit { member: member.to_owned(), id: id.to_owned(), class, version })
+    at(
+        t,
+        What::Admit {
+            member: member.to_owned(),
+            id: id.to_owned(),
+            class,
+            version,
+            account: "leinster".to_owned(),
+        },
+    )
 }
 
 fn came(t: f64, engine: &str, id: &str) -> Event {
--- a/src/commands/fleet.rs
+++ b/src/commands/fleet.rs
@@ -3,6 +3,7 @@
 use super::{Asker, End, NO, UNKNOWN};
 use crate::cli::{Ask, Fleet, Seat};
 use beamgap::fleet::machine::{Answer, Question, Status};
+use beamgap_budgets::lead::Standing;
 use beamgap_council::link::{Answer as Told, Question as Asked, Status as Decider};
 use beamgap_policy::switch::Mark;
 use serde_json::json;
@@ -80,10 +81,18 @@
         Ok(_) => Err("another answer".to_owned()),
         Err(why) => Err(why),
     };
+    let budgets = match fleet.is_ok().then(|| asker.ask(&Question::Budgets, ONE)) {
+        Some(Ok(Answer::Budgets(standings))) => standings,
+        // An older leader knows none.
+        _ => Vec::new(),
+    };
     if ask.json {
-        println!("{}", as_json(&asker.fleet.name, &deciders, &fleet));
+        let mut all = as_json(&asker.fleet.name, &deciders, &fleet);
+        all["budgets"] = budgets.iter().map(budget_json).collect();
+        println!("{all}");
     } else {
         print!("{}", as_text(&asker.fleet.name, &deciders, &fleet));
+        budgets.iter().for_each(|budget| print!("{}", budget_text(budget)));
     }
     fleet.map(|_| ()).map_err(|why| {
         let there = deciders.iter().filter(|(_, told)| told.is_ok()).count();
@@ -98,6 +107,24 @@
     })
 }
 
+fn budget_json(b: &Standing) -> serde_json::Value {
+    let part = |((member, life), part, wants): &((String, u64), f64, f64)| json!({"member": member, "life": format!("{life:x}"), "part": part, "wants": wants});
+    json!({"budget": b.name, "is": b.told, "unknown": b.unknown, "parts": b.parts.iter().map(part).collect::<Vec<_>>()})
+}
+
+fn budget_text(b: &Standing) -> String {
+    let mut text = format!("budget {}: {}\n", b.name, b.told);
+    for ((member, life), part, wants) in &b.parts {
+        let (part, wants) = (part * 100.0, wants * 100.0);
+        text += &format!("  {member:<12} life {life:x}  has {part:.1}%, wants {wants:.1}%\n");
+    }
+    if b.unknown > 0.0 {
+        let part = b.unknown * 100.0;
+        text += &format!("  {part:.1}% may be held by lives not heard of since this leader leads\n");
+    }
+    text
+}
+
 fn as_json(
     name: &str,
     deciders: &[(u64, Result<Box<Decider>, String>)],
--- a/src/commands/policy.rs
+++ b/src/commands/policy.rs
@@ -2,12 +2,11 @@
 
 use super::{text_of, unusable, Asker, End, NO, UNKNOWN, UNUSABLE};
 use crate::cli::{Ask, Follow, Outcome as OutcomeOf, Policy, PolicyCheck, PolicyDiff, Propose, Show};
+use beamgap::fleet::document::{self, usable, Here};
 use beamgap::fleet::machine::{Answer, Question};
 use beamgap::fleet::trial::machine_clock;
 use beamgap::node::config::Config;
-use beamgap_policy::check::{usable, Known};
-use beamgap_policy::diff::diff;
-use beamgap_policy::document;
+use beamgap_policy::check::Known;
 use beamgap_policy::switch::state::{Change, Outcome};
 use serde_json::json;
 use std::path::Path;
@@ -30,7 +29,7 @@
     }
 }
 
-fn read(path: &Path) -> Result<document::Read, End> {
+fn read(path: &Path) -> Result<document::Whole, End> {
     let text = text_of(path)?;
     document::read(&path.display().to_string(), &text).map_err(|problems| {
         (UNUSABLE, problems.iter().map(|p| p.to_string()).collect::<Vec<_>>().join("\n  "))
@@ -46,12 +45,13 @@
             let anywhere = |name: &str| (name == "NODE_LISTEN").then(|| "127.0.0.1:0".to_owned());
             let env = |name: &str| std::env::var(name).ok().or_else(|| anywhere(name));
             let config = Config::read(text_of(config)?.into_bytes(), &env).map_err(unusable)?;
-            let known = Known {
+            let names = Known {
                 classes: config.settings.classes.iter().map(|c| c.name.clone()).collect(),
                 accounts: config.settings.tenants.iter().map(|t| t.name.clone()).collect(),
                 zones: config.zones,
             };
-            usable(&name, &text_of(&check.file)?, &known).map_err(|problems| {
+            let deadlines = config.settings.classes.iter().map(|c| c.deadline.as_millis()).collect();
+            usable(&name, &text_of(&check.file)?, &Here { names, deadlines }).map_err(|problems| {
                 (UNUSABLE, problems.iter().map(|p| p.to_string()).collect::<Vec<_>>().join("\n  "))
             })?;
         }
@@ -61,7 +61,7 @@
 }
 
 fn compare(two: &PolicyDiff) -> Result<(), End> {
-    let changes = diff(&read(&two.before)?.policy, &read(&two.after)?.policy);
+    let changes = document::compare(&read(&two.before)?, &read(&two.after)?);
     if two.json {
         let rows = changes
             .iter()
--- a/src/fleet/gate.rs
+++ b/src/fleet/gate.rs
@@ -1,6 +1,8 @@
 //! The gate before the core: which requests come in, under which version, and what the decision module is offered of the
 //! list of engines. It holds the front end's right to admit, and asks the council for it.
 
+use super::budgets::{Further, Held, Shares};
+use super::document::{usable, Here};
 use super::machine::{decode, encode, Answer, FleetMachine, Question};
 use super::settings::Fleet;
 use super::tasks::Keeper;
@@ -8,11 +10,12 @@
 use crate::{EngineId, Member, MemberState, Settings as ModuleSettings};
 use beamgap_config::Problem;
 use beamgap_council::{Council, Settings};
-use beamgap_policy::check::{usable, Known};
+use beamgap_policy::check::Known;
 use beamgap_policy::document::{Policy, FORM};
 use beamgap_policy::rules::{Meter, No, Ruling, Terms};
 use beamgap_policy::switch::hold::{Act, Hold};
 use beamgap_policy::switch::{Fault, Plant, Version};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -21,6 +24,7 @@
 
 const NO_RIGHT_BACKOFF: f64 = 500.0; // ms; a new leader is there within a second or two
 const RULE_BACKOFF: f64 = 1000.0; // ms; policies stand for long
+const BUDGET_BACKOFF: f64 = 500.0; // ms; a part may move here by then
 const PLAIN: f64 = 5000.0; // ms; an older leader may be replaced by then
 const HURRY: f64 = 30.0; // ms between questions while a step of a task waits for the council
 const FILE: &str = "policy"; // what stands for the file's name where members check a text
@@ -34,17 +38,22 @@
     pub terms: Terms,
     /// What the version says of engines.
     pub ruling: Rc<Ruling>,
+    /// What it holds of the fleet's stocks until it is over.
+    pub held: Rc<Held>,
+    /// Its leave for further attempts, where a budget bounds them.
+    pub further: Option<Further>,
 }
 
 /// The gate.
 pub struct Gate {
     council: Council,
     hold: Hold,
-    known: Known,
+    here: Here,
     classes: Vec<String>,
     ruling: Rc<Ruling>,
     meter: Meter,
     tasks: Keeper,
+    shares: Rc<RefCell<Shares>>,
     /// The question that is out: its round, and when it was asked.
     asked: (u64, f64),
     /// Until then only the policy is asked for: the leader runs an older program, which knows no tasks.
@@ -90,18 +99,23 @@
         let zone = zones.first().map(String::as_str).unwrap_or_default();
         let tasks = Keeper::new(&fleet.member, life, zone, fleet.trial, wake);
         let machine =
-            Arc::new(Mutex::new(FleetMachine::new(fleet.times, fleet.trial.plant, fleet.trial.leases)));
+            FleetMachine::new(fleet.times, life, fleet.trial.plant, fleet.trial.leases, fleet.trial.budgets);
+        let machine = Arc::new(Mutex::new(machine));
         let council = Council::start(settings, listener, fleet.trial.disk(), machine, move || woken())?;
         let classes: Vec<String> = module.classes.iter().map(|c| c.name.clone()).collect();
         let accounts = module.tenants.iter().map(|t| t.name.clone()).collect();
+        let deadlines = module.classes.iter().map(|c| c.deadline.as_millis()).collect();
+        let names = Known { classes: classes.clone(), accounts, zones: zones.to_vec() };
+        let shares = Shares::new(&fleet.member, life, zone, &classes, fleet.trial);
         Ok(Gate {
             council,
             hold: Hold::new(&fleet.member, life, FORM, fleet.trial.plant),
-            known: Known { classes: classes.clone(), accounts, zones: zones.to_vec() },
+            here: Here { names, deadlines },
             ruling: Rc::new(Ruling::new(Policy::default(), &classes)),
             classes,
             meter: Meter::default(),
             tasks,
+            shares: Rc::new(RefCell::new(shares)),
             asked: (0, 0.0),
             plain_until: f64::NEG_INFINITY,
             trial: fleet.trial,
@@ -115,6 +129,7 @@
     /// The front end is about to end: it gives up what it holds of the fleet's tasks.
     pub fn drain(&mut self) {
         self.tasks.drain();
+        self.shares.borrow_mut().drain();
     }
 
     /// Where this decider listens for other members.
@@ -146,7 +161,13 @@
         let admitted = match self.hold.admits(now) {
             None => Err(("right", NO_RIGHT_BACKOFF)),
             Some(version) => match self.meter.admit(now, &self.ruling, class, account, open) {
-                Ok(terms) => Ok(Admitted { version, terms, ruling: self.ruling.clone() }),
+                Ok(terms) => match Shares::admit(&self.shares, now, class, account) {
+                    Ok((held, further)) => {
+                        let (ruling, held) = (self.ruling.clone(), Rc::new(held));
+                        Ok(Admitted { version, terms, ruling, held, further })
+                    }
+                    Err(_) => Err(("budget", BUDGET_BACKOFF)),
+                },
                 Err(No::Class) => Err(("class", RULE_BACKOFF)),
                 Err(No::Rate) => Err(("rate", RULE_BACKOFF)),
                 Err(No::Share) => Err(("share", RULE_BACKOFF)),
@@ -155,7 +176,12 @@
         };
         if self.trial.history {
             match &admitted {
-                Ok(a) => eprintln!("history admit t={machine:.3} id={id} class={class} v={}", a.version),
+                Ok(a) => {
+                    let (version, account) = (a.version, account.unwrap_or_default());
+                    eprintln!(
+                        "history admit t={machine:.3} id={id} class={class} v={version} account={account}"
+                    )
+                }
                 Err((why, _)) => eprintln!("history refuse t={machine:.3} id={id} class={class} why={why}"),
             }
         }
@@ -200,6 +226,15 @@
                         self.act(act, &mut changed, &mut lines);
                     }
                 }
+                Some(Answer::All(reply, leases, shares)) => {
+                    if round == self.asked.0 {
+                        self.tasks.reply(self.asked.1, leases);
+                        self.shares.borrow_mut().reply(now, shares);
+                    }
+                    for act in self.hold.reply(now, reply) {
+                        self.act(act, &mut changed, &mut lines);
+                    }
+                }
                 Some(Answer::Both(reply, leases)) => {
                     if round == self.asked.0 {
                         self.tasks.reply(self.asked.1, leases);
@@ -220,6 +255,9 @@
         if self.tasks.hurries(now) {
             self.hold.hasten(self.asked.1 + HURRY);
         }
+        if let Some(soon) = self.shares.borrow().hurries(now) {
+            self.hold.hasten(self.asked.1 + soon);
+        }
         let due = self.hold.due() <= now;
         let note = || format!("admitted={} refused={}", self.counts.0, self.counts.1);
         if let Some(ask) = due.then(note).and_then(|note| self.hold.ask(now, &note)) {
@@ -227,7 +265,13 @@
             self.asked = (round, now);
             let question = match now < self.plain_until {
                 true => Question::Renew(ask),
-                false => Question::Both(ask, self.tasks.ask(), self.tasks.wants(now, open)),
+                false if self.shares.borrow().is_empty() => {
+                    Question::Both(ask, self.tasks.ask(), self.tasks.wants(now, open))
+                }
+                false => {
+                    let shares = self.shares.borrow_mut().ask(now, round);
+                    Question::All(ask, self.tasks.ask(), self.tasks.wants(now, open), shares)
+                }
             };
             if !self.council.ask(round, encode(&question)) {
                 self.hold.no_answer(now, round);
@@ -248,17 +292,18 @@
     fn act(&mut self, act: Act, changed: &mut Vec<Member>, lines: &mut Vec<String>) {
         match act {
             Act::Check(id, text) => {
-                let read = usable(FILE, &text, &self.known);
+                let read = usable(FILE, &text, &self.here);
                 let member = self.hold.member().to_owned();
                 let fault = |p: &Problem| Fault { member: member.clone(), text: p.to_string() };
                 let faults: Vec<Fault> = read.err().iter().flatten().map(fault).collect();
                 lines.push(format!("fleet: checked change={id} faults={}", faults.len()));
                 self.hold.checked(self.now(), &id, faults);
             }
-            Act::Use(version, text) => match usable(FILE, &text, &self.known) {
-                Ok(read) => {
-                    let before =
-                        std::mem::replace(&mut self.ruling, Rc::new(Ruling::new(read.policy, &self.classes)));
+            Act::Use(version, text) => match usable(FILE, &text, &self.here) {
+                Ok(whole) => {
+                    let ruling = Rc::new(Ruling::new(whole.read.policy, &self.classes));
+                    let before = std::mem::replace(&mut self.ruling, ruling);
+                    self.shares.borrow_mut().uses(self.now(), version, whole.budgets);
                     let offered = |ruling: &Ruling, m: &Member| narrowed(ruling, m.clone()).state;
                     let other =
                         self.listed.values().filter(|m| offered(&before, m) != offered(&self.ruling, m));
@@ -280,6 +325,13 @@
         }
     }
 
+    /// Connections that each engine may have from here, if a budget bounds them; of those that it has, `used` is the
+    /// most, and `vain` tells that more were wanted.
+    pub fn links(&mut self, used: usize, vain: bool) -> Option<usize> {
+        let now = self.now();
+        self.shares.borrow_mut().links(now, used as u64, vain).map(|most| most as usize)
+    }
+
     /// Why nothing is admitted now, if so.
     pub fn why_not(&self) -> Option<String> {
         self.hold.why_not(self.now())
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -1,10 +1,13 @@
-//! Policy and tasks as commands and questions of the council.
+//! Policy, tasks and budgets as commands and questions of the council.
 
+use super::document;
+use beamgap_budgets::lead::{Ask as BudgetAsk, Lead as BudgetLead, Reply as BudgetReply, Standing};
+use beamgap_budgets::spec::Spec as Budget;
+use beamgap_budgets::{Plant as BudgetPlant, Times as BudgetTimes};
 use beamgap_council::Machine;
 use beamgap_leases::lead::{self, Lead as LeaseLead};
 use beamgap_leases::state::{Command as TaskCommand, State as Tasks, Task};
 use beamgap_leases::{Clocks, Plant as LeasePlant, Token};
-use beamgap_policy::document;
 use beamgap_policy::switch::lead::Lead;
 use beamgap_policy::switch::state::{Change, Command, Outcome, Record, State};
 use beamgap_policy::switch::{Ask, Mark, Plant, Reply, Times, Version};
@@ -36,6 +39,10 @@
     Release(String),
     /// How tasks stand: all, without their records, or one with it.
     Tasks(Option<String>),
+    /// As [`Question::Both`], where the policy in use has budgets.
+    All(Ask, lead::Ask, Vec<TaskCommand>, BudgetAsk),
+    /// How budgets are divided.
+    Budgets,
 }
 
 /// What the leader answers.
@@ -59,6 +66,10 @@
     Both(Reply, lead::Reply),
     /// Tasks, with the milliseconds since each one's lease was renewed.
     Tasks(Vec<(Task, Option<f64>)>),
+    /// To a renewal of all.
+    All(Reply, lead::Reply, BudgetReply),
+    /// Budgets as they are divided.
+    Budgets(Vec<Standing>),
 }
 
 /// How the fleet is, as its leader sees it.
@@ -119,21 +130,53 @@
     times: Times,
     tasks: Tasks,
     leases: LeaseLead,
+    /// The budgets of a version, as its text says.
+    budgets: (Option<Version>, Vec<Budget>),
+    division: BudgetLead,
 }
 
 impl FleetMachine {
     /// One with nothing agreed on yet; `times` are those that a fleet is founded with.
-    pub fn new(times: Times, plant: Plant, leases: LeasePlant) -> FleetMachine {
+    /// The seed is unlike that of any other life.
+    pub fn new(
+        times: Times,
+        seed: u64,
+        plant: Plant,
+        leases: LeasePlant,
+        budgets: BudgetPlant,
+    ) -> FleetMachine {
         let clocks = Clocks { drift: times.drift, ..Clocks::default() };
         let leases = LeaseLead::new(clocks, leases);
         let lead = Lead::planted(plant);
-        FleetMachine { state: State::default(), lead, times, tasks: Tasks::default(), leases }
+        let division = BudgetLead::new(seed, BudgetTimes::of_right(times.right, times.drift), budgets);
+        let (state, tasks, budgets) = (State::default(), Tasks::default(), (None, Vec::new()));
+        FleetMachine { state, lead, times, tasks, leases, budgets, division }
+    }
+
+    /// Reads the budgets of the version in force, if they are not those that were read last.
+    fn read_budgets(&mut self) {
+        let version = self.state.version();
+        if self.budgets.0 != Some(version) {
+            let read = document::read("policy", self.state.text()).ok();
+            self.budgets = (Some(version), read.map(|read| read.budgets).unwrap_or_default());
+            let times = self.state.times.unwrap_or(self.times);
+            self.division.timed(BudgetTimes::of_right(times.right, times.drift));
+        }
+    }
+
+    fn renew(&mut self, now: f64, ask: &Ask, lease: &lead::Ask) -> (Reply, lead::Reply, Vec<Command>) {
+        let (reply, changes) = self.lead.answer(now, &self.state, ask);
+        // Only members hold leases: who is none yet is told so by the policy's answer.
+        let joined =
+            lease.who == (ask.member.clone(), ask.life) && self.state.members.contains_key(&lease.who);
+        let told = if joined { self.leases.answer(now, &self.tasks, lease) } else { lead::Reply::default() };
+        (reply, told, changes)
     }
 
     /// Holds back the tasks that the policy in force forbids; the same at all deciders, as the text is.
     fn forbid(&mut self) {
         let read = document::read("policy", self.state.text()).ok();
-        let names = read.map(|read| read.policy.forbidden.into_iter().collect()).unwrap_or_default();
+        let names = read.map(|read| read.read.policy.forbidden.into_iter().collect()).unwrap_or_default();
         self.tasks.apply(&TaskCommand::Forbid(names));
     }
 
@@ -192,7 +235,7 @@
 
 impl Machine for FleetMachine {
     fn blank(&mut self) {
-        (self.state, self.tasks) = (State::default(), Tasks::default());
+        (self.state, self.tasks, self.budgets.0) = (State::default(), Tasks::default(), None);
     }
 
     fn apply(&mut self, command: &[u8]) {
@@ -232,13 +275,14 @@
         let form = "a snapshot of another form: update this program";
         let (state, rest) = postcard::take_from_bytes(snapshot).map_err(|_| form)?;
         let tasks = if rest.is_empty() { Tasks::default() } else { decode(rest).ok_or(form)? };
-        (self.state, self.tasks) = (state, tasks);
+        (self.state, self.tasks, self.budgets.0) = (state, tasks, None);
         Ok(())
     }
 
     fn role(&mut self, now: f64, leads: bool) {
         self.lead.role(now, leads);
         self.leases.role(now, leads);
+        self.division.role(now, leads);
     }
 
     fn answer(&mut self, now: f64, question: &[u8]) -> (Vec<u8>, Vec<Vec<u8>>) {
@@ -251,18 +295,28 @@
                 Answer::Renewed(reply)
             }
             Some(Question::Both(ask, lease, wants)) => {
-                let (reply, changes) = self.lead.answer(now, &self.state, &ask);
+                more.extend(wants.into_iter().filter(|want| self.own(&lease, want)));
+                let (reply, told, changes) = self.renew(now, &ask, &lease);
                 commands = changes;
+                Answer::Both(reply, told)
+            }
+            Some(Question::All(ask, lease, wants, budget)) => {
                 more.extend(wants.into_iter().filter(|want| self.own(&lease, want)));
-                // Only members hold leases: who is none yet is told so by the policy's answer.
-                let joined =
-                    lease.who == (ask.member, ask.life) && self.state.members.contains_key(&lease.who);
-                let told = if joined {
-                    self.leases.answer(now, &self.tasks, &lease)
-                } else {
-                    lead::Reply::default()
+                let (reply, told, changes) = self.renew(now, &ask, &lease);
+                commands = changes;
+                self.read_budgets();
+                let own = budget.who == (ask.member, ask.life);
+                let (version, specs) = (self.state.version(), &self.budgets.1);
+                let shares = match own {
+                    true => self.division.answer(now, version, specs, &self.state.members, &budget),
+                    false => BudgetReply::default(),
                 };
-                Answer::Both(reply, told)
+                Answer::All(reply, told, shares)
+            }
+            Some(Question::Budgets) => {
+                self.read_budgets();
+                self.division.tick(now, self.state.version(), &self.budgets.1, &self.state.members);
+                Answer::Budgets(self.division.standings())
             }
             Some(Question::Task(command)) => {
                 more.push(command);
@@ -305,6 +359,8 @@
         let minute = since_1970.map(|time| time.as_secs() / 60);
         let policy = self.lead.tick(now, &self.state);
         let tasks = self.leases.tick(now, minute, &self.tasks);
+        self.read_budgets();
+        self.division.tick(now, self.state.version(), &self.budgets.1, &self.state.members);
         policy.iter().map(encode).chain(tasks.iter().map(of_task)).collect()
     }
 }
--- a/src/fleet/trial.rs
+++ b/src/fleet/trial.rs
@@ -3,6 +3,7 @@
 //! `offset=5000`, `jump=2000:5000`, `power`, `leash`, `look=300`, `plant=NAME`.
 
 use super::trial_disk::PowerCut;
+use beamgap_budgets::Plant as BudgetPlant;
 use beamgap_council::disk::{Files, SharedDisk};
 use beamgap_council::{Clock, Plants};
 use beamgap_leases::Plant as LeasePlant;
@@ -31,6 +32,8 @@
     pub plant: Plant,
     /// One in the leases.
     pub leases: LeasePlant,
+    /// One in the budgets.
+    pub budgets: BudgetPlant,
 }
 
 impl Default for Trial {
@@ -45,6 +48,7 @@
             history: false,
             plant: Plant::None,
             leases: LeasePlant::None,
+            budgets: BudgetPlant::None,
         }
     }
 }
@@ -78,6 +82,11 @@
                 Some(("plant", "no-lease-wait")) => trial.leases = LeasePlant::NoWait,
                 Some(("plant", "holds-on")) => trial.leases = LeasePlant::HoldsOn,
                 Some(("plant", "act-first")) => trial.leases = LeasePlant::ActFirst,
+                Some(("plant", "new-leader-gives")) => trial.budgets = BudgetPlant::NoWait,
+                Some(("plant", "given-twice")) => trial.budgets = BudgetPlant::GivenTwice,
+                Some(("plant", "full-bucket")) => trial.budgets = BudgetPlant::FullBucket,
+                Some(("plant", "no-end")) => trial.budgets = BudgetPlant::NoEnd,
+                Some(("plant", "dead-is-over")) => trial.budgets = BudgetPlant::DeadIsOver,
                 Some(("plant", name)) => {
                     trial.plant = match name {
                         "early-activation" => Plant::EarlyActivation,
--- a/src/node/backend/roster.rs
+++ b/src/node/backend/roster.rs
@@ -86,6 +86,11 @@
         self.0.get(id).map_or(&[], |engine| &engine.links)
     }
 
+    /// The most connections that one engine has.
+    pub fn links_most(&self) -> usize {
+        self.0.values().map(|engine| engine.links.len()).max().unwrap_or(0)
+    }
+
     /// A connection to an engine is no more.
     pub fn unlink(&mut self, id: &EngineId, key: Key) {
         if let Some(engine) = self.0.get_mut(id) {
--- a/src/node/backend/warehouse/dial.rs
+++ b/src/node/backend/warehouse/dial.rs
@@ -32,7 +32,8 @@
             let idle = self.conns.iter().find(|(_, conn)| conn.load() == 0).map(|(key, _)| key)?;
             self.lose(idle, Outcome::Reset, cx);
         }
-        if self.roster.links(id).len() >= LINKS_MOST {
+        if self.roster.links(id).len() >= self.links_most {
+            self.links_vain = true;
             let idle = |key: &Key| self.conns.get(*key).is_some_and(|conn| conn.load() == 0);
             let idle = self.roster.links(id).iter().copied().find(idle)?;
             self.lose(idle, Outcome::Reset, cx);
--- a/src/node/backend/warehouse/mod.rs
+++ b/src/node/backend/warehouse/mod.rs
@@ -2,6 +2,7 @@
 
 mod dial;
 mod line;
+mod links;
 mod talk;
 
 use super::roster::Roster;
@@ -116,6 +117,9 @@
     idle_ms: f64,
     streams: usize,
     sockets: usize,
+    /// Connections to one engine, and whether more were wanted lately.
+    links_most: usize,
+    links_vain: bool,
     tags: u64,
     roster: Roster,
     conns: Slots<Conn>,
@@ -138,6 +142,8 @@
             idle_ms: idle_ms * IDLE_PART,
             streams,
             sockets,
+            links_most: LINKS_MOST,
+            links_vain: false,
             tags: 0,
             roster: Roster::default(),
             conns: Slots::default(),
@@ -182,6 +188,8 @@
         let outcome = match self.roster.serving(&start.engine) {
             Some(_) => match self.choose(&start.engine, &start.name, once, cx) {
                 Some(key) => return self.queue(key, start, once, cx),
+                // It says nothing of the engine where the fleet's budget leaves no room.
+                None if self.links_short(&start.engine) => Outcome::Full,
                 None => Outcome::ConnectFailed,
             },
             // The list changed between the decision and now.
--- a/src/node/backend/warehouse/talk.rs
+++ b/src/node/backend/warehouse/talk.rs
@@ -73,7 +73,7 @@
             // Answers come in any order, but a cancel written before `there` has been read before its answer.
             if let Some(place) = conn.called_off.iter().position(|(tag, ..)| tag == line.id) {
                 let read = conn.called_off.drain(..=place).map(|(_, at, _)| at);
-                cx.heard.extend(read.map(|at| Heard::Ended(Ended::bare(at, Outcome::Cancelled))));
+                cx.heard.extend(read.map(|at| Heard::Ended(Ended::confirmed(at))));
             }
             return Ok(());
         }
@@ -135,7 +135,7 @@
             }
             _ => (None, line.report()),
         };
-        cx.heard.push(Heard::Ended(Ended { attempt: at, outcome, answer, cost: attempt.cost, report }));
+        cx.heard.push(Heard::Ended(Ended { answer, cost: attempt.cost, report, ..Ended::bare(at, outcome) }));
         Ok(())
     }
 
--- a/src/node/exchange/end.rs
+++ b/src/node/exchange/end.rs
@@ -1,8 +1,23 @@
-//! A planned end: what is owed at its last word, and what can't end before.
+//! Ends: of a request whose work may go on; and a planned end: what is owed at its last word, and what can't end before.
 
 use super::*;
 
 impl Exchange {
+    /// A request is over here. What it holds of the fleet's stocks counts on where it may still run somewhere.
+    pub(super) fn linger(&mut self, open: Open) {
+        let Some(held) = open.ask.admitted.map(|admitted| admitted.held).filter(|_| open.unsure) else {
+            return;
+        };
+        if let Some(longest) = held.longest() {
+            self.lingering.push((open.came + longest, held));
+        }
+    }
+
+    /// What lingered and has surely ended counts no more.
+    pub fn let_go(&mut self, now: f64) {
+        self.lingering.retain(|(until, _)| now < *until);
+    }
+
     /// A planned end has begun: what is still owed at `last_word` is answered then, and what can't end before is refused
     /// at once where it was never sent.
     pub fn end_by(&mut self, now: f64, last_word: f64, deadlines: &mut Deadlines) {
--- a/src/node/exchange/mod.rs
+++ b/src/node/exchange/mod.rs
@@ -10,6 +10,7 @@
 use super::clock::{from_micros, to_micros};
 use super::deadlines::{Deadlines, Handle, Wake};
 use super::slots::{Key, Slots};
+use crate::fleet::budgets::Held;
 use crate::fleet::gate::Admitted;
 use crate::{
     Action, Attempt, ClassId, Closed, EngineId, Event, Gateway, ListKind, LoadReport, Member, MemberState,
@@ -52,6 +53,9 @@
     memory_mb: u64,
     priority: u8,
     may_have_run: bool,
+    /// When it came, and whether something of it may still run at an engine though it is over here.
+    came: f64,
+    unsure: bool,
 }
 
 impl Open {
@@ -73,6 +77,8 @@
     names: HashMap<RequestId, Key>,
     askers: HashMap<Asker, Key>,
     seen: Seen,
+    /// What the fleet's stocks still count, and until when: it may run on at an engine.
+    lingering: Vec<(f64, Rc<Held>)>,
     /// Zones of engines, kept only where a fleet's policy may ask for them.
     zones: Option<HashMap<EngineId, String>>,
     /// When a planned end gives its last word; nothing is owed beyond.
@@ -100,6 +106,7 @@
             open: Slots::default(),
             names: HashMap::new(),
             askers: HashMap::new(),
+            lingering: Vec::new(),
             zones: None,
             last_word: f64::INFINITY,
             orders: Vec::new(),
@@ -240,6 +247,8 @@
             memory_mb: 0,
             priority: 1,
             may_have_run: false,
+            came: now,
+            unsure: false,
         });
         if let Some(open) = self.open.get_mut(key) {
             let over = (deadline + LAST_WORD).min(self.last_word.max(now));
@@ -275,6 +284,7 @@
         let out = open.out.take_if(|out| out.attempt == ended.attempt.attempt)?;
         deadlines.clear(out.due);
         open.may_have_run |= !ended.outcome.never_ran();
+        open.unsure |= ended.outcome.end_unsure() && !ended.confirmed;
         Some(Closed {
             request: RequestId(open.ask.name.clone()),
             attempt: out.attempt,
@@ -304,6 +314,7 @@
             open.over.into_iter().for_each(|over| deadlines.clear(over));
             self.names.remove(&RequestId(open.ask.name.clone()));
             self.payload -= open.ask.payload.size();
+            self.linger(open);
         }
     }
 }
--- a/src/node/exchange/module.rs
+++ b/src/node/exchange/module.rs
@@ -57,11 +57,12 @@
             Action::Cancel { request, attempt } => {
                 let attempt = AttemptRef { request: self.key(&request)?, attempt };
                 let open = self.open.get(attempt.request)?;
-                let (again, ordered) = (open.asker.is_some(), open.ask.order.is_some());
+                let counted = open.ask.admitted.as_ref().is_some_and(|a| a.held.longest().is_some());
+                let (again, ordered) = (open.asker.is_some(), open.ask.order.is_some() || counted);
                 let is_out = open.out.as_ref().is_some_and(|out| out.attempt == attempt.attempt);
                 if is_out && (again || ordered) {
-                    // It may be sent again, or the next of its key comes, but not before this one is over for sure:
-                    // its end comes from outside.
+                    // It may be sent again, or the next of its key comes, or the fleet counts it, but not before this one
+                    // is over for sure: its end comes from outside.
                     self.orders.push(Order::GiveUp(attempt, true));
                     return None;
                 }
@@ -123,6 +124,23 @@
             let (cost, report) = (None, None);
             return Some(Closed { request, attempt, engine, outcome, latency, request_over, cost, report });
         }
+        // Beyond the first, the fleet's budget is asked too, beside this front end's own ration.
+        let further = open.ask.admitted.as_ref().and_then(|a| a.further.as_ref()).filter(|_| open.sent > 0);
+        if further.is_some_and(|further| !further.take(&request.0)) {
+            let answer = self.given_up(key, BACKOFF);
+            self.answer(key, answer);
+            self.forget(key, deadlines);
+            return Some(Closed {
+                request,
+                attempt,
+                engine,
+                outcome: Outcome::Moot,
+                latency: Micros(0),
+                request_over: true,
+                cost: None,
+                report: None,
+            });
+        }
         let (class, work) = (open.ask.class.0, open.ask.work_ms.unwrap_or(0.0));
         let (id, to, no) = (&request.0, &engine.0, attempt.0);
         trace!(target: ACCOUNT, "send: id={id} class={class} engine={to} attempt={no} work={work:.0}");
--- a/src/node/exchange/orders.rs
+++ b/src/node/exchange/orders.rs
@@ -62,12 +62,19 @@
     pub cost: Option<TrueCost>,
     /// The engine's load, where told.
     pub report: Option<LoadReport>,
+    /// Whether its engine has said that it is over, where the outcome alone leaves that open.
+    pub confirmed: bool,
 }
 
 impl Ended {
+    /// An attempt that was called off, and its engine has read so.
+    pub fn confirmed(attempt: AttemptRef) -> Ended {
+        Ended { confirmed: true, ..Ended::bare(attempt, Outcome::Cancelled) }
+    }
+
     /// An end that tells nothing more than its outcome.
     pub fn bare(attempt: AttemptRef, outcome: Outcome) -> Ended {
-        Ended { attempt, outcome, answer: None, cost: None, report: None }
+        Ended { attempt, outcome, answer: None, cost: None, report: None, confirmed: false }
     }
 }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -172,14 +172,25 @@
     /// Takes in what the council has answered, and asks it for the right to admit when that is due.
     fn fleet(&mut self) {
         let Some(gate) = &mut self.gate else { return };
+        self.exchange.let_go(self.clock.now());
         let (changed, mut lines) = gate.turn(self.exchange.open_requests());
-        let due = self.clock.now() + gate.due_in();
+        let now = self.clock.now();
+        let (used, vain) = self.warehouses.links_used();
+        let most = gate.links(used, vain);
+        let due = now + gate.due_in();
         self.log.append(&mut lines);
         self.gate_due.take().into_iter().for_each(|before| self.deadlines.clear(before));
         self.gate_due = Some(self.deadlines.set(due, Wake::Fleet));
+        let mut heard = Vec::new();
+        let Node { poll, deadlines, log, warehouses, .. } = self;
+        warehouses
+            .keep_links(most, &mut Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log });
         if !changed.is_empty() {
             self.xds.iter_mut().for_each(Feed::hurry);
-            self.settle(vec![Heard::Members(crate::ListKind::Changes, 0, changed)]);
+            heard.push(Heard::Members(crate::ListKind::Changes, 0, changed));
+        }
+        if !heard.is_empty() {
+            self.settle(heard);
         }
     }
 
--- a/tests/fleet_seeds.rs
+++ b/tests/fleet_seeds.rs
@@ -3,7 +3,8 @@
 //!
 //! `RIG_SEEDS=1..500 RIG_JOBS=6 cargo test --release --test fleet_seeds seeds -- --nocapture`
 
-use beamgap_rig::world::play_seed;
+use beamgap_rig::checker::Summary;
+use beamgap_rig::world::{play_seed, play_shared_seed};
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
@@ -18,9 +19,11 @@
     text.split_once("..").map_or_else(|| (number(text), number(text) + 1), |(a, b)| (number(a), number(b)))
 }
 
-#[test]
-fn seeds_of_mixed_faults_break_no_promise() {
-    let (from, to) = range(&std::env::var("RIG_SEEDS").unwrap_or("1..11".to_owned()));
+type Play = fn(&Path, u64, &[String]) -> Result<Summary, String>;
+
+/// Plays the seeds that are asked for, or these.
+fn play(usual: &str, play: Play) -> Vec<(u64, Result<Summary, String>)> {
+    let (from, to) = range(&std::env::var("RIG_SEEDS").unwrap_or(usual.to_owned()));
     let jobs: usize = std::env::var("RIG_JOBS").ok().and_then(|n| n.parse().ok()).unwrap_or(4);
     let trials = vec![std::env::var("RIG_TRIAL").unwrap_or_default()];
     let (next, results) = (AtomicU64::new(from), Mutex::new(Vec::new()));
@@ -31,7 +34,7 @@
                 if seed >= to {
                     return;
                 }
-                let result = play_seed(binary(), seed, &trials);
+                let result = play(binary(), seed, &trials);
                 if seed.is_multiple_of(50) {
                     println!("seed {seed} is over");
                 }
@@ -42,7 +45,12 @@
             });
         }
     });
-    let results = results.into_inner().unwrap();
+    results.into_inner().unwrap()
+}
+
+#[test]
+fn seeds_of_mixed_faults_break_no_promise() {
+    let results = play("1..11", play_seed);
     let good: Vec<_> = results.iter().filter_map(|(_, r)| r.as_ref().ok()).collect();
     let served: usize = good.iter().map(|s| s.served).sum();
     let sent: usize = good.iter().map(|s| s.sent).sum();
@@ -72,3 +80,22 @@
     assert!(bad.is_empty(), "{} of {} seeds: {}", bad.len(), results.len(), bad[0]);
     assert!(admitted > 100 * results.len(), "{admitted} admitted: nothing was tried");
 }
+
+#[test]
+fn shared_seeds_have_budgets_that_never_sum_to_more_than_the_whole() {
+    let results = play("1..9", play_shared_seed);
+    let good: Vec<_> = results.iter().filter_map(|(_, r)| r.as_ref().ok()).collect();
+    for (i, name) in ["leinster", "look-ups"].iter().enumerate() {
+        let seen = good.iter().filter_map(|s| s.shared.get(i));
+        let (admitted, burst, widest) =
+            seen.fold((0, 0.0f64, 0), |(a, b, w), s| (a + s.admitted, b.max(s.burst), w.max(s.widest)));
+        println!(
+            "{name}: {admitted} admitted; fullest {burst:.1} at once; {widest} in hand at engines at most"
+        );
+    }
+    let admitted: usize = good.iter().map(|s| s.admitted).sum();
+    println!("{} seeds, {} broken, {admitted} admitted", results.len(), results.len() - good.len());
+    let bad: Vec<String> = results.iter().filter_map(|(_, r)| r.as_ref().err().cloned()).collect();
+    assert!(bad.is_empty(), "{} of {} seeds: {}", bad.len(), results.len(), bad[0]);
+    assert!(admitted > 100 * results.len(), "{admitted} admitted: nothing was tried");
+}
