Budgets: a unit that ends is whole for who gets it; council in files; pages and measures

Cause: a rig's case in which all units of a stock were out admitted nothing at the life that came back, and did not find a planted fault. The leader's books had its part 3 parts of 2^40 short of a unit: what is out was counted rounded up, what is held rounded down (lead.rs, uses), so that each unit in use took a part from the one unit left. Ruled out: rights, answers, the module (its load never came to it).

Change: both are rounded alike. A log line tells what budgets refuse. Pages, examples and what measures them.

--- a/crates/budgets/src/lead.rs
+++ b/crates/budgets/src/lead.rs
@@ -7,7 +7,7 @@
 use crate::fill::{divide, Want};
 use crate::pool::Pool;
 use crate::spec::{Amount, Spec};
-use crate::{parts, parts_up, Parts, Plant, Times, Who, WHOLE};
+use crate::{parts, Parts, Plant, Times, Who, WHOLE};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -317,7 +317,7 @@
                 let most = 4.0 * division.spec.units() as f64;
                 let demand = if demand.is_finite() { demand.clamp(0.0, most) } else { 0.0 };
                 division.dirty |= division.wants.insert(who.clone(), demand) != Some(demand);
-                division.shares.uses(who, parts_up(used, division.spec.units()));
+                division.shares.uses(who, parts(used, division.spec.units()));
             }
             division.dirty |= whole;
         }
--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -48,17 +48,12 @@
     ((u128::from(parts) + 1) * u128::from(whole) / u128::from(WHOLE)).min(u128::from(whole)) as u64
 }
 
-/// The part that so many units are, cut off.
+/// The part that so many units are, cut off: a part for what is held and one for what is out must be the same, or what is
+/// missing of a unit is missing to all.
 pub fn parts(units: u64, whole: u64) -> Parts {
     (u128::from(units.min(whole)) * u128::from(WHOLE) / u128::from(whole.max(1))) as Parts
 }
 
-/// The part that so many units are, and all that they may be: for what is counted as gone.
-pub fn parts_up(units: u64, whole: u64) -> Parts {
-    let up = u128::from(units) * u128::from(WHOLE);
-    up.div_ceil(u128::from(whole.max(1))).min(u128::from(Parts::MAX)) as Parts
-}
-
 /// The fleet's figures of time that bear on budgets, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Times {
--- a/crates/budgets/tests/fleet.rs
+++ b/crates/budgets/tests/fleet.rs
@@ -149,6 +149,21 @@
     assert!(whole >= 27, "{whole} of 30 are used in the end");
 }
 
+#[test]
+fn a3_where_all_units_are_in_use_a_unit_that_ends_is_whole_for_who_gets_it() {
+    // One unit for each of five, all out; the fifth comes back as another life.
+    let mut f = fleet(5, vec![stock("a", 5, 3000.0)]);
+    f.takes = 2000.0;
+    f.fronts.iter_mut().for_each(|front| front.demand = vec![20.0]);
+    f.run(5000.0);
+    f.kill(4);
+    f.start(4);
+    let before = f.counts[0].get(&4).copied().unwrap_or(0);
+    f.run(12_000.0);
+    assert!(f.counts[0].get(&4).copied().unwrap_or(0) > before, "it never had one of the five");
+    assert_eq!(f.widest[0], 5);
+}
+
 #[test]
 fn a1_a_leaders_death_costs_nobody_its_part() {
     let mut f = fleet(9, vec![rate("a", 300.0, 300)]);
--- a/crates/council/src/lib.rs
+++ b/crates/council/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod council;
 pub mod disk;
 pub mod elect;
+mod entry;
 pub mod link;
 mod raft;
 pub mod store;
--- a/crates/council/src/link/mod.rs
+++ b/crates/council/src/link/mod.rs
@@ -4,7 +4,7 @@
 pub mod client;
 pub mod server;
 
-use crate::raft::Types;
+use crate::entry::Types;
 use crate::store::Marker;
 use openraft::raft::{
     AppendEntriesRequest, AppendEntriesResponse, InstallSnapshotRequest, InstallSnapshotResponse,
--- a/crates/council/src/raft.rs
+++ b/crates/council/src/raft.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::result_large_err)] // the library's own error types, in its traits' signatures
 
+use crate::entry::{Command, Types};
 use crate::link::client::{Link, Traffic};
 use crate::link::{Answer, Hello, LinkError, Question};
 use crate::store::{Batch, SharedStore, StoreError};
@@ -26,22 +27,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// A command, as the log holds it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Command(pub Vec<u8>);
-
-openraft::declare_raft_types!(
-    /// The library's types, filled in.
-    pub Types:
-        D = Command,
-        R = (),
-        NodeId = u64,
-        Node = BasicNode,
-        Entry = Entry<Types>,
-        SnapshotData = Cursor<Vec<u8>>,
-        AsyncRuntime = openraft::TokioRuntime,
-);
-
 /// The library, filled in.
 pub type Raft = openraft::Raft<Types>;
 type Id = u64;
--- a/deploy/policy.hcl
+++ b/deploy/policy.hcl
@@ -36,6 +36,22 @@
   forbidden = true
 }
 
+# So many a second of all front ends together, and so many at once (docs/budgets.md).
+budget "munster" {
+  limits  = "requests"
+  account = "munster"
+  rate    = 400
+  burst   = 200
+}
+
+# At a time, of all front ends together; after `longest` one is surely over, whatever became of its front end.
+budget "reports" {
+  limits  = "open"
+  class   = "report"
+  most    = 60
+  longest = "30 s"
+}
+
 admission {
   open_most = 2000 # requests open at a front end
 }
--- a/examples/fleet.rs
+++ b/examples/fleet.rs
@@ -32,9 +32,25 @@
     Ok(())
 }
 
-/// `kill 2`, `start 2`, `stop 2`, `wake 2`, `cut 2`, `mend 2`, `fill 2`, `room 2`: members are counted from 1.
+/// A rate that all front ends have in common, and look-ups that may be open at a time.
+const BUDGETS: &str = r#"form = 1
+budget "munster" {
+  limits  = "requests"
+  account = "munster"
+  rate    = 60
+  burst   = 30
+}
+budget "look-ups" {
+  limits  = "open"
+  class   = "lookup"
+  most    = 40
+  longest = "3 s"
+}
+"#;
+
+/// `kill 2`, `start 2`, `stop 2`, `wake 2`, `cut 2`, `mend 2`, `fill 2`, `room 2`, `flood 2`, `calm 2`: members are counted from 1.
 fn fault(text: &str, members: usize) -> Result<Fault, String> {
-    let usage = "kill|start|stop|wake|cut|mend|fill|room and a member from 1";
+    let usage = "kill|start|stop|wake|cut|mend|fill|room|flood|calm and a member from 1";
     let (verb, member) = text.trim().split_once(' ').ok_or(usage)?;
     let member = member.trim().parse::<usize>().ok().filter(|m| (1..=members).contains(m)).ok_or(usage)? - 1;
     Ok(match verb {
@@ -46,6 +62,8 @@
         "mend" => Fault::Mend(member),
         "fill" => Fault::Fill(member),
         "room" => Fault::Room(member),
+        "flood" => Fault::Demand(member, 4, 0),
+        "calm" => Fault::Demand(member, 100, 0),
         _ => return Err(usage.to_owned()),
     })
 }
@@ -120,6 +138,13 @@
     println!("  cargo run --release --example fleet -- cut 3      # and: mend 3");
     println!("  cargo run --release --example fleet -- fill 2     # its disk; and: room 2");
     println!("  cargo run --release --example fleet -- kill 1     # and: start 1; or: stop 1, wake 1");
+    let budgets = world.write_policy("budgets", BUDGETS);
+    println!(
+        "  {b} policy propose {} --operator {o}     # 60 a second of munster, of all three together",
+        budgets.display()
+    );
+    println!("  cargo run --release --example fleet -- flood 2    # its client asks 250 times a second; and: calm 2");
+    println!("  {b} fleet status --operator {o}     # who has which part, and what each wants");
     let mut before = (0, 0);
     while !over.load(Relaxed) {
         let next = Instant::now() + Duration::from_secs(1);
--- a/src/fleet/gate.rs
+++ b/src/fleet/gate.rs
@@ -25,6 +25,7 @@
 const NO_RIGHT_BACKOFF: f64 = 500.0; // ms; a new leader is there within a second or two
 const RULE_BACKOFF: f64 = 1000.0; // ms; policies stand for long
 const BUDGET_BACKOFF: f64 = 500.0; // ms; a part may move here by then
+const SHORT_TOLD: f64 = 10_000.0; // ms between lines on what budgets refuse
 const PLAIN: f64 = 5000.0; // ms; an older leader may be replaced by then
 const HURRY: f64 = 30.0; // ms between questions while a step of a task waits for the council
 const FILE: &str = "policy"; // what stands for the file's name where members check a text
@@ -65,6 +66,8 @@
     turn: f64,
     was_shut: bool,
     counts: (u64, u64),
+    /// Refused for want of a budget since that was last told, by its name; and when it was.
+    short: (BTreeMap<String, u64>, f64),
 }
 
 fn one_line(problems: &[Problem]) -> String {
@@ -123,6 +126,7 @@
             turn: 0.0,
             was_shut: true,
             counts: (0, 0),
+            short: (BTreeMap::new(), f64::NEG_INFINITY),
         })
     }
 
@@ -166,7 +170,10 @@
                         let (ruling, held) = (self.ruling.clone(), Rc::new(held));
                         Ok(Admitted { version, terms, ruling, held, further })
                     }
-                    Err(_) => Err(("budget", BUDGET_BACKOFF)),
+                    Err(budget) => {
+                        *self.short.0.entry(budget).or_default() += 1;
+                        Err(("budget", BUDGET_BACKOFF))
+                    }
                 },
                 Err(No::Class) => Err(("class", RULE_BACKOFF)),
                 Err(No::Rate) => Err(("rate", RULE_BACKOFF)),
@@ -277,6 +284,11 @@
                 self.hold.no_answer(now, round);
             }
         }
+        if !self.short.0.is_empty() && now - self.short.1 >= SHORT_TOLD {
+            self.short.1 = now;
+            let told = std::mem::take(&mut self.short.0).into_iter();
+            lines.extend(told.map(|(budget, n)| format!("fleet: budget {budget}: refused {n} lately")));
+        }
         let why_not = self.hold.why_not(self.now());
         if why_not.is_some() != self.was_shut {
             self.was_shut = why_not.is_some();
