Budgets: the test of whole units asks often enough to fail without its mend

Cause: with twenty requests a second a unit that fell idle for a moment hid the fault. Change: four hundred.

Measured: fails with a part rounded up, passes without.

--- a/crates/budgets/tests/fleet.rs
+++ b/crates/budgets/tests/fleet.rs
@@ -154,7 +154,7 @@
     // One unit for each of five, all out; the fifth comes back as another life.
     let mut f = fleet(5, vec![stock("a", 5, 3000.0)]);
     f.takes = 2000.0;
-    f.fronts.iter_mut().for_each(|front| front.demand = vec![20.0]);
+    f.fronts.iter_mut().for_each(|front| front.demand = vec![400.0]);
     f.run(5000.0);
     f.kill(4);
     f.start(4);
