--- a/crates/budgets/src/lead.rs
+++ b/crates/budgets/src/lead.rs
@@ -7,8 +7,8 @@
 use crate::fill::{divide, Want};
 use crate::pool::Pool;
 use crate::spec::{Amount, Spec};
+pub use crate::talk::{Ask, Epoch, Holding, Reply, Standing};
 use crate::{parts, Parts, Plant, Times, Who, WHOLE};
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 const AGAIN: f64 = 40.0; // ms until a member whose part is on the move is to ask again
@@ -16,54 +16,6 @@
 const ROOM: f64 = 1.15; // of what a member wants: a little more comes before it has asked for it
 const REMEMBERED: f64 = 10.0; // rights for which the fleet's list keeps a life that is not heard of; it keeps it for 12
 
-/// A leadership, and how often in it all was to be stated anew.
-pub type Epoch = (u64, u64);
-
-/// A budget, the part of it that is held, and whether what is set aside is held.
-pub type Holding = (String, Parts, bool);
-
-/// What a member tells with each question to the leader.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// Its name, and which life of it.
-    pub who: Who,
-    /// Grows with each question of this life.
-    pub round: u64,
-    /// The version of the policy that it admits under.
-    pub version: u64,
-    /// Its zone.
-    pub zone: String,
-    /// Whether it is about to end: it wants nothing more.
-    pub drains: bool,
-    /// The last answer that it has taken in: whose, and to which question.
-    pub known: Option<(Epoch, u64)>,
-    /// All that it holds, if it was asked to state that.
-    pub full: Option<(Epoch, Vec<Holding>)>,
-    /// What it wants and has out, in units, of those budgets where that has changed.
-    pub wants: Vec<(String, f64, u64)>,
-}
-
-/// What it is answered.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Reply {
-    /// Whose answer it is.
-    pub epoch: Epoch,
-    /// To which question.
-    pub round: u64,
-    /// Whether all that it holds is renewed from when it asked. If not, it is to state all that it holds.
-    pub renewed: bool,
-    /// Whether the list is all that it holds; if not, what it does not name stays as it is.
-    pub whole: bool,
-    /// What it holds from now on.
-    pub list: Vec<Holding>,
-    /// The figures of time.
-    pub times: Option<Times>,
-    /// Which of the front ends that are there it is, from 0 by their names, and how many these are.
-    pub place: (u64, u64),
-    /// Ask again after so many milliseconds: something is on the move.
-    pub again: Option<f64>,
-}
-
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Member {
     round: u64,
@@ -77,19 +29,6 @@
     answered: u64,
 }
 
-/// How a budget stands, for operators.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Standing {
-    /// Its name.
-    pub name: String,
-    /// What it is, in a line.
-    pub told: String,
-    /// Part of the whole that may be held by lives that were not heard of.
-    pub unknown: f64,
-    /// By member: its part of the whole, and what it wants of it.
-    pub parts: Vec<(Who, f64, f64)>,
-}
-
 #[derive(Clone, Debug, PartialEq)]
 struct Division {
     spec: Spec,
--- a/crates/budgets/src/lib.rs
+++ b/crates/budgets/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`spec`]: a budget as the operator writes it in the policy.
 //! - [`fill`]: who is to have how much: max-min by weight.
 //! - [`pool`]: the books of one whole: what each may still use, and what is free for sure. The arithmetic of promise A1.
+//! - [`talk`]: what a member and the leader say to each other.
 //! - [`lead`]: what the leading decider does: hears what members hold and want, moves parts among them.
 //! - [`hold`]: what each front end does: holds parts until they end by themselves, and admits from memory only.
 //!
@@ -24,6 +25,7 @@
 pub mod lead;
 pub mod pool;
 pub mod spec;
+pub mod talk;
 
 use serde::{Deserialize, Serialize};
 
