--- a/crates/budgets/src/lead.rs
+++ b/crates/budgets/src/lead.rs
@@ -345,9 +345,4 @@
         };
         self.divisions.values().map(of).collect()
     }
-
-    /// For tests and models: what may be used of a budget by the worst case, and by how much that is over the whole.
-    pub fn books(&self, name: &str) -> Option<(&Pool, &Pool)> {
-        self.divisions.get(name).map(|d| (&d.shares, &d.floors))
-    }
 }
