--- a/src/node/backend/mod.rs
+++ b/src/node/backend/mod.rs
@@ -6,6 +6,7 @@
 
 use super::deadlines::Deadlines;
 use super::exchange::Heard;
+use super::front::closing::ClosingConnections;
 use mio::Registry;
 
 /// What a backend or a front works with while it handles one thing.
@@ -16,6 +17,8 @@
     pub registry: &'a Registry,
     /// All deadlines.
     pub deadlines: &'a mut Deadlines,
+    /// Client connections that are being closed.
+    pub closing: &'a mut ClosingConnections,
     /// What the core is to hear.
     pub heard: &'a mut Vec<Heard>,
     /// Lines for the log.
--- a/src/node/backend/mysql.rs
+++ b/src/node/backend/mysql.rs
@@ -255,6 +255,15 @@
         }
     }
 
+    /// Takes an attempt back if it is not sent.
+    pub fn withdraw(&mut self, at: AttemptRef, cx: &mut Cx) {
+        let Some(key) = self.placed.get(&at) else { return };
+        if self.conns.get(*key).and_then(|conn| conn.job.as_ref()).is_some_and(|job| !job.sent) {
+            self.give_up(at, false, cx);
+            cx.heard.push(Heard::Ended(Ended::bare(at, Outcome::Moot)));
+        }
+    }
+
     /// Closes a box's idle connections.
     pub fn close_idle(&mut self, id: &EngineId, cx: &mut Cx) {
         for key in self.roster.links(id).to_vec() {
--- a/src/node/backend/warehouse/mod.rs
+++ b/src/node/backend/warehouse/mod.rs
@@ -259,6 +259,16 @@
         CalledOff::Told(key)
     }
 
+    /// Takes an attempt back if no byte of it is written.
+    pub fn withdraw(&mut self, at: AttemptRef, cx: &mut Cx) {
+        let Some((key, _)) = self.placed.get(&at) else { return };
+        let Some(conn) = self.conns.get_mut(*key) else { return };
+        let Some(place) = conn.wants.iter().position(|want| want.at == at) else { return };
+        conn.wants.remove(place);
+        self.placed.remove(&at);
+        cx.heard.push(Heard::Ended(Ended::bare(at, Outcome::Moot)));
+    }
+
     /// Tells a new priority.
     pub fn hurry(&mut self, at: AttemptRef, priority: u8, cx: &mut Cx) {
         let Some((key, name)) = self.placed.get(&at).cloned() else { return };
--- a/src/node/deadlines.rs
+++ b/src/node/deadlines.rs
@@ -22,6 +22,8 @@
     Bulletin,
     /// A client connection of the platform's front that has not asked, stands in mid-message, or is let go.
     Client(Key),
+    /// A client connection that is being closed.
+    ClosingConnection(Key),
     /// A client connection of the MySQL front that has not logged in.
     MysqlLogin(Key),
     /// A connection of a balancer's check or of an xDS client.
--- a/src/node/ending.rs
+++ b/src/node/ending.rs
@@ -11,6 +11,7 @@
 const KILL_MS: f64 = 700.0; // after that, until the kill
 const LAST_WORD_MS: f64 = 200.0; // before the kill: what is owed then is answered, so that the client reads it
 const LOOK_MS: f64 = 50.0; // between looks
+const END_MS: f64 = 100.0; // before the kill: it ends by then, whoever has not read what was written
 
 /// Where a planned end stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,7 +22,7 @@
     Serving,
     /// What is quiet is closed; what is owed is finished.
     Closing,
-    /// Nothing is owed and nothing is open.
+    /// Nothing is owed, and every client's connection is closed.
     Ended,
 }
 
@@ -30,7 +31,7 @@
 pub struct Todo {
     /// Close the listeners now.
     pub close_listeners: bool,
-    /// Close the connections on which nothing is owed.
+    /// Refuse new requests, and close the connections on which nothing is owed.
     pub close_quiet: bool,
     /// When to look again; none once it has ended.
     pub again: Option<f64>,
@@ -67,10 +68,12 @@
         self.newest = now;
     }
 
-    /// Looks where it stands: requests open, and whether all answers are written.
-    pub fn look(&mut self, now: f64, open: usize, written: bool) -> Todo {
+    /// Looks where it stands: requests that are open, and client connections that are not closed yet.
+    pub fn look(&mut self, now: f64, open: usize, connections: usize) -> Todo {
         let since = now - self.told;
-        let mut todo = Todo { close_listeners: false, close_quiet: false, again: Some(now + LOOK_MS) };
+        let last = self.kill - END_MS;
+        let again = if now < last { (now + LOOK_MS).min(last) } else { now + LOOK_MS };
+        let mut todo = Todo { close_listeners: false, close_quiet: false, again: Some(again) };
         let quiet = now - self.newest >= QUIET_MS;
         if self.phase == Phase::Accepting && since >= ACCEPT_MS && (quiet || since >= REQUESTS_MS) {
             (self.phase, todo.close_listeners) = (Phase::Serving, true);
@@ -79,7 +82,8 @@
             self.phase = Phase::Closing;
         }
         todo.close_quiet = self.phase == Phase::Closing;
-        if self.phase == Phase::Closing && open == 0 && written {
+        let is_done = open == 0 && connections == 0;
+        if self.phase == Phase::Closing && (is_done || now >= last) {
             (self.phase, todo.again) = (Phase::Ended, None);
         }
         todo
@@ -100,7 +104,7 @@
                 .iter()
                 .filter(|at| (now - LOOK_MS..now).contains(*at))
                 .for_each(|at| ending.accepted(*at));
-            let todo = ending.look(now, usize::from(now < open_until), true);
+            let todo = ending.look(now, usize::from(now < open_until), 0);
             closes += usize::from(todo.close_listeners);
             assert_eq!(todo.again.is_none(), ending.phase() == Phase::Ended);
             if seen.last().is_none_or(|(_, phase)| *phase != ending.phase()) {
--- a/src/node/exchange/end.rs
+++ b/src/node/exchange/end.rs
@@ -32,6 +32,20 @@
         self.refuse_hopeless(now, deadlines);
     }
 
+    /// From now on each new request is refused: its connection is about to be closed.
+    pub fn refuse_new(&mut self) {
+        self.refuses_new = true;
+    }
+
+    /// Nobody waits for a request any more. Where the deployment lets nothing be called off, its attempt is still taken
+    /// back if it has not begun.
+    pub(super) fn withdraw(&mut self, key: Key) {
+        let Some(out) = self.open.get(key).and_then(|open| open.out.as_ref()) else { return };
+        if !self.settings.cancel {
+            self.orders.push(Order::Withdraw(AttemptRef { request: key, attempt: out.attempt }));
+        }
+    }
+
     /// Refuses what waits, was never sent, and can't end any more before the last word of a planned end.
     pub fn refuse_hopeless(&mut self, now: f64, deadlines: &mut Deadlines) {
         for key in self.open.keys() {
--- a/src/node/exchange/mod.rs
+++ b/src/node/exchange/mod.rs
@@ -83,6 +83,8 @@
     zones: Option<HashMap<EngineId, String>>,
     /// When a planned end gives its last word; nothing is owed beyond.
     last_word: f64,
+    /// Whether what comes from now on is refused, since a planned end closes its connections.
+    refuses_new: bool,
     orders: Vec<Order>,
     logs: Vec<String>,
 }
@@ -109,6 +111,7 @@
             lingering: Vec::new(),
             zones: None,
             last_word: f64::INFINITY,
+            refuses_new: false,
             orders: Vec::new(),
             logs: Vec::new(),
         })
@@ -163,7 +166,9 @@
                 let Some(open) = self.open.get_mut(key) else { return };
                 open.asker = None;
                 let id = RequestId(open.ask.name.clone());
+                trace!(target: ACCOUNT, "gone: id={}", id.0);
                 self.tell(now, Event::Abandoned(id), deadlines);
+                self.withdraw(key);
                 self.forget(key, deadlines);
             }
             Heard::Ended(ended) => self.ended(now, ended, deadlines),
@@ -216,7 +221,8 @@
     fn asked(&mut self, now: f64, ask: Ask, deadlines: &mut Deadlines) {
         let id = RequestId(ask.name.clone());
         let size = ask.payload.size();
-        let full = self.open.len() >= self.open_most || self.payload + size > self.payload_most;
+        let full =
+            self.refuses_new || self.open.len() >= self.open_most || self.payload + size > self.payload_most;
         let used = self.names.contains_key(&id) || self.askers.contains_key(&ask.asker);
         let came = !self.seen.is_first(now, &ask.name) || used;
         if full || came {
--- a/src/node/exchange/orders.rs
+++ b/src/node/exchange/orders.rs
@@ -43,6 +43,8 @@
     Start(Start),
     /// Give an attempt up; if it is still owed an end, that is told when it is sure that the engine knows.
     GiveUp(AttemptRef, bool),
+    /// Take an attempt back if it has not begun; one that has goes on.
+    Withdraw(AttemptRef),
     /// Change an attempt's priority.
     Hurry(AttemptRef, u8),
     /// Give an engine's idle connections back.
--- a/src/node/front/jsonrpc/message.rs
+++ b/src/node/front/jsonrpc/message.rs
@@ -46,9 +46,7 @@
 
     pub(super) fn message(&mut self, key: Key, message: Vec<u8>, sent: f64, cx: &mut Cx) {
         let asked = self.read(key, message, sent);
-        let Some(client) = self.clients.get_mut(key).filter(|client| client.leaving.is_none()) else {
-            return;
-        };
+        let Some(client) = self.clients.get_mut(key) else { return };
         client.asked |= matches!(asked, Ok(Asked::Alive(_) | Asked::Cancel(_) | Asked::Run(..)));
         match asked {
             Ok(Asked::Nothing) => {}
@@ -57,9 +55,11 @@
             }
             Ok(Asked::Cancel(id)) => {
                 if client.open.remove(&id) {
-                    cx.heard.push(Heard::Gone(Asker { front: Front::JsonRpc, conn: key, id }));
+                    withdraw(Asker { front: Front::JsonRpc, conn: key, id }, cx.heard);
                 }
             }
+            // Nobody waits for it: its client has closed its side.
+            Ok(Asked::Run(..) | Asked::Twice(_)) if client.ended => {}
             Ok(Asked::Run(id, ask)) => {
                 client.open.insert(id);
                 cx.heard.push(Heard::Asked(*ask));
--- a/src/node/front/jsonrpc/mod.rs
+++ b/src/node/front/jsonrpc/mod.rs
@@ -6,6 +6,7 @@
 use crate::node::backend::Cx;
 use crate::node::deadlines::{Handle, Wake};
 use crate::node::exchange::{Answer, Ask, Asker, Front, Heard, Payload};
+use crate::node::front::withdraw;
 use crate::node::json::{self, *};
 use crate::node::reactor::{heaviest, Link, Owner, ReadEnd};
 use crate::node::slots::{Key, Slots};
@@ -33,8 +34,6 @@
 const TURN_MESSAGES: usize = 32; // likewise: a whole connection's worth
 const FIRST_MS: f64 = 2000.0; // from the connect to a first whole message; then a client is let go
 const WHOLE_MS: f64 = 2000.0; // from a message's first byte to its last; likewise
-const LINGER_MS: f64 = 300.0; // after the last word, for a client to read it: a reset would take it away
-const LINGER_MOST: usize = 1 << 20; // bytes that are thrown away meanwhile; what is left unread resets
 const NEW_MS: f64 = 100.0; // a client this new has yet to say its first word
 const FAR: f64 = 2.0; // times its class's longest wait past which a client's budget is out of range
 const MOST_MS: f64 = 1e7; // work past which an estimate is out of range: three hours
@@ -52,8 +51,6 @@
     since: f64,
     /// Since when a message stands half said.
     part: Option<f64>,
-    /// It gets no more than what is written, and is let go soon; so many bytes of it were thrown away.
-    leaving: Option<usize>,
     due: Option<Handle>,
 }
 
@@ -62,10 +59,17 @@
         self.link.waiting() + self.link.input.capacity()
     }
 
+    /// Whether it is owed nothing and stands in no message.
+    fn is_quiet(&self) -> bool {
+        self.open.is_empty()
+            && self.link.waiting() == 0
+            && self.link.input.is_empty()
+            && !self.link.has_more()
+    }
+
     /// The order in which clients make room for others; none for whom something is open or on its way.
     fn use_left(&self, now: f64) -> Option<u8> {
         match () {
-            () if self.leaving.is_some() => Some(0),
             () if !self.open.is_empty() || (self.asked && self.part.is_some()) => None,
             () if !self.asked && now - self.since > NEW_MS => Some(1),
             () if self.asked && self.link.waiting() == 0 => Some(2),
@@ -115,11 +119,6 @@
         self.clients.is_empty()
     }
 
-    /// Whether all answers are written.
-    pub fn all_written(&self) -> bool {
-        self.clients.iter().all(|(_, client)| client.link.waiting() == 0)
-    }
-
     /// A client has connected. `sent` is when what it has said already was sent at the latest.
     pub fn accept(&mut self, stream: TcpStream, sent: f64, cx: &mut Cx) {
         let client = Client {
@@ -129,7 +128,6 @@
             asked: false,
             since: cx.now,
             part: None,
-            leaving: None,
             due: None,
         };
         let key = self.clients.insert(client);
@@ -137,7 +135,7 @@
         match client.link.watch(cx.registry, Owner::JsonRpc(key)) {
             Ok(()) => {
                 client.due = Some(cx.deadlines.set(cx.now + FIRST_MS, Wake::Client(key)));
-                self.ready(key, sent, cx);
+                self.ready(key, false, sent, cx);
             }
             Err(e) => {
                 cx.log.push(format!("accept: error={e}"));
@@ -146,12 +144,23 @@
         }
     }
 
-    /// Lets the client go of whom the least is to be had: gone already, never asked, idle. False if all are needed.
-    pub fn make_room(&mut self, cx: &mut Cx) -> bool {
-        let spare = self.clients.iter().filter_map(|(key, c)| Some((c.use_left(cx.now)?, c.since, key)));
-        let least = spare.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        least.into_iter().for_each(|(_, _, key)| self.close(key, cx));
-        least.is_some()
+    /// Lets the client go of whom the least is to be had: never asked, idle. False if all are needed.
+    pub fn make_room(&mut self, sent: f64, cx: &mut Cx) -> bool {
+        loop {
+            let spare = self.clients.iter().filter_map(|(key, c)| Some((c.use_left(cx.now)?, c.since, key)));
+            let least = spare.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            let Some((use_left, _, key)) = least else { return false };
+            // What it has said since the poll may call for an answer.
+            self.ready(key, false, sent, cx);
+            match self.clients.get(key) {
+                None => return true,
+                Some(client) if client.use_left(cx.now) == Some(use_left) => {
+                    self.close(key, cx);
+                    return true;
+                }
+                Some(_) => {}
+            }
+        }
     }
 
     /// Clients that are to have another turn, after all others have had theirs.
@@ -160,20 +169,27 @@
     }
 
     /// A socket has something to say. `sent` is when what it says was sent at the latest. One client says so much at
-    /// a time: one that floods is not to keep the others waiting.
-    pub fn ready(&mut self, key: Key, sent: f64, cx: &mut Cx) {
+    /// a time: one that floods is not to keep the others waiting. `read_closed`: it has closed its side, which counts at
+    /// once, however much of what it sent before is still to be read.
+    pub fn ready(&mut self, key: Key, read_closed: bool, sent: f64, cx: &mut Cx) {
         let Some(client) = self.clients.get_mut(key) else { return };
         if client.link.flush().is_err() {
             return self.close(key, cx);
         }
-        if client.leaving.is_some() {
-            return self.throw_away(key, cx);
+        if read_closed {
+            client.ended = true;
+            self.gone(key, cx);
         }
+        let Some(client) = self.clients.get_mut(key) else { return };
         if client.link.waiting() > OUT_HIGH {
+            if client.ended {
+                self.leave(key, cx);
+            }
             return; // Read on when it has taken its answers; the poll tells of that.
         }
         let most = (client.link.input.len() + TURN_BYTES).min(HEAD_MOST + self.message_most);
         let end = client.link.read(most);
+        client.ended |= matches!(end, Ok(ReadEnd::Closed));
         let input = std::mem::take(&mut client.link.input);
         let (mut used, mut messages) = (0, 0);
         let framing = loop {
@@ -190,13 +206,12 @@
         let Some(client) = self.clients.get_mut(key) else { return };
         client.link.input = input;
         client.link.used(used);
-        client.ended = matches!(end, Ok(ReadEnd::Closed));
         match (end, framing) {
-            _ if client.leaving.is_some() => self.throw_away(key, cx),
             (Err(_), _) => return self.close(key, cx),
             (_, Framed::Lost) => {
                 return self.turn_away(key, PARSE, "the length can't be read, or is too much", cx)
             }
+            _ if client.ended => self.settle(key, cx),
             (_, Framed::Whole(..)) => self.again.push(key),
             (Ok(end), Framed::Part) => {
                 let half = !client.link.input.is_empty();
@@ -232,9 +247,8 @@
         let Some(client) = self.clients.get_mut(key) else { return };
         client.due = None;
         match client.part {
-            _ if client.leaving.is_some() => self.close(key, cx),
             Some(_) => self.turn_away(key, INVALID, "the message did not come whole in time", cx),
-            None if !client.asked => self.close(key, cx),
+            None if !client.asked => self.leave(key, cx),
             None => {}
         }
     }
@@ -247,36 +261,20 @@
 
     /// Withdraws what a client has open, and lets it read what is written before its connection is closed.
     fn leave(&mut self, key: Key, cx: &mut Cx) {
-        self.gone(key, cx);
-        let Some(client) = self.clients.get_mut(key) else { return };
-        client.due.take().into_iter().for_each(|due| cx.deadlines.clear(due));
-        client.due = Some(cx.deadlines.set(cx.now + LINGER_MS, Wake::Client(key)));
-        (client.leaving, client.link.input) = (Some(0), Vec::new());
-        self.throw_away(key, cx);
-    }
-
-    /// A client that is let go: reads on for a while, so that no reset overtakes what it was told.
-    fn throw_away(&mut self, key: Key, cx: &mut Cx) {
-        let Some(client) = self.clients.get_mut(key) else { return };
-        let thrown = client.leaving.unwrap_or_default();
-        let end = if thrown < LINGER_MOST { client.link.read(TURN_BYTES) } else { Ok(ReadEnd::Open) };
-        client.leaving = Some(thrown + client.link.input.len());
-        client.link.used(client.link.input.len());
-        if client.link.flush().is_err() || !matches!(end, Ok(ReadEnd::Open)) && client.link.waiting() == 0 {
-            return self.close(key, cx);
-        }
-        if client.link.waiting() == 0 {
-            client.link.finish();
-        }
-        if thrown < LINGER_MOST && client.link.has_more() {
-            self.again.push(key);
+        if let Some(client) = self.remove(key, cx) {
+            cx.closing.add(client.link, cx.now, cx.registry, cx.deadlines);
         }
     }
 
     fn close(&mut self, key: Key, cx: &mut Cx) {
+        drop(self.remove(key, cx));
+    }
+
+    fn remove(&mut self, key: Key, cx: &mut Cx) -> Option<Client> {
         self.gone(key, cx);
-        let due = self.clients.remove(key).and_then(|client| client.due);
-        due.into_iter().for_each(|due| cx.deadlines.clear(due));
+        let mut client = self.clients.remove(key)?;
+        client.due.take().into_iter().for_each(|due| cx.deadlines.clear(due));
+        Some(client)
     }
 
     /// Nobody waits any more for what is open on a connection.
@@ -284,8 +282,9 @@
         let Some(client) = self.clients.get_mut(key) else { return };
         let mut open: Vec<u64> = std::mem::take(&mut client.open).into_iter().collect();
         open.sort_unstable();
-        let gone = open.into_iter().map(|id| Heard::Gone(Asker { front: Front::JsonRpc, conn: key, id }));
-        cx.heard.extend(gone);
+        for id in open {
+            withdraw(Asker { front: Front::JsonRpc, conn: key, id }, cx.heard);
+        }
     }
 
     /// Writes an answer, if its client still waits for it.
@@ -326,11 +325,12 @@
         }
     }
 
-    /// Closes the connections on which nothing is open; used at a planned end.
-    pub fn close_idle(&mut self, cx: &mut Cx) {
+    /// Closes the connections on which nothing is open or half said; used at a planned end.
+    pub fn close_quiet(&mut self, cx: &mut Cx) {
         for key in self.clients.keys() {
-            if self.clients.get(key).is_some_and(|c| c.open.is_empty() && c.link.waiting() == 0) {
-                self.close(key, cx);
+            self.ready(key, false, cx.now, cx); // What came since the poll is not to be lost by a close over it.
+            if self.clients.get(key).is_some_and(Client::is_quiet) {
+                self.leave(key, cx);
             }
         }
     }
--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -10,6 +10,7 @@
 use crate::node::config::{MysqlSettings, OrderBy};
 use crate::node::deadlines::Wake;
 use crate::node::exchange::{Answer, Ask, Asker, Bound, Front, Heard, Payload};
+use crate::node::front::withdraw;
 use crate::node::packets::{self, error, PACKET_MOST};
 use crate::node::reactor::{heaviest, Link, Owner, ReadEnd};
 use crate::node::slots::{Key, Slots};
@@ -142,11 +143,6 @@
         self.sessions.is_empty()
     }
 
-    /// Whether all answers are written.
-    pub fn all_written(&self) -> bool {
-        self.sessions.iter().all(|(_, session)| session.link.waiting() == 0)
-    }
-
     /// A client has connected: greets it.
     pub fn accept(&mut self, stream: TcpStream, cx: &mut Cx) {
         self.connections = self.connections.wrapping_add(1);
@@ -186,7 +182,7 @@
             return;
         }
         cx.deadlines.set(cx.now + LOGIN_MS, Wake::MysqlLogin(key));
-        self.ready(key, cx);
+        self.ready(key, false, cx);
     }
 
     /// Lets a client go that has not logged in.
@@ -196,8 +192,12 @@
         }
     }
 
-    /// A socket has something to say, or a command may be taken again.
-    pub fn ready(&mut self, key: Key, cx: &mut Cx) {
+    /// A socket has something to say, or a command may be taken again. A client that has closed its side is gone, however
+    /// much it has sent before.
+    pub fn ready(&mut self, key: Key, read_closed: bool, cx: &mut Cx) {
+        if read_closed {
+            return self.close(key, cx);
+        }
         loop {
             let Some(session) = self.sessions.get_mut(key) else { return };
             if session.link.flush().is_err() {
@@ -239,22 +239,23 @@
         }
     }
 
-    /// Writes what it can of the last word, and closes.
+    /// Lets a client go, which may first read what is written.
     fn part(&mut self, key: Key, cx: &mut Cx) {
-        if let Some(session) = self.sessions.get_mut(key) {
-            // It is closed in any case.
-            let _ = session.link.flush();
-            session.link.finish();
+        if let Some(session) = self.remove(key, cx) {
+            cx.closing.add(session.link, cx.now, cx.registry, cx.deadlines);
         }
-        self.close(key, cx);
     }
 
     fn close(&mut self, key: Key, cx: &mut Cx) {
-        let Some(session) = self.sessions.remove(key) else { return };
+        drop(self.remove(key, cx));
+    }
+
+    fn remove(&mut self, key: Key, cx: &mut Cx) -> Option<Session> {
+        let session = self.sessions.remove(key)?;
         if matches!(session.phase, Phase::Busy(_)) {
-            let asker = Asker { front: Front::Mysql, conn: key, id: session.requests };
-            cx.heard.push(Heard::Gone(asker));
+            withdraw(Asker { front: Front::Mysql, conn: key, id: session.requests }, cx.heard);
         }
+        Some(session)
     }
 
     /// Writes an answer, if its client still waits for it, and takes the next command.
@@ -278,7 +279,7 @@
             Answer::TimedOut => session.wrong(number, TIMED_OUT),
             Answer::Failed => session.wrong(number, FAILED),
         }
-        self.ready(asker.conn, cx);
+        self.ready(asker.conn, false, cx);
     }
 
     /// Guards the memory limit against many sessions that take nothing or keep much: the heaviest goes.
@@ -290,12 +291,14 @@
         }
     }
 
-    /// Closes the sessions in which nothing is open; used at a planned end.
-    pub fn close_idle(&mut self, cx: &mut Cx) {
+    /// Closes the sessions in which nothing is open or half said; used at a planned end.
+    pub fn close_quiet(&mut self, cx: &mut Cx) {
         for key in self.sessions.keys() {
-            let idle = |s: &Session| !matches!(s.phase, Phase::Busy(_)) && s.link.waiting() == 0;
-            if self.sessions.get(key).is_some_and(idle) {
-                self.close(key, cx);
+            self.ready(key, false, cx); // What came since the poll is not to be lost by a close over it.
+            let is_busy = |s: &Session| matches!(s.phase, Phase::Busy(_));
+            let is_quiet = |s: &Session| !is_busy(s) && s.link.waiting() == 0 && s.link.input.is_empty();
+            if self.sessions.get(key).is_some_and(is_quiet) {
+                self.part(key, cx);
             }
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -34,6 +34,7 @@
 use deadlines::{Deadlines, Handle, Wake};
 use ending::{Ending, Phase};
 use exchange::{AttemptRef, Exchange, Front, Heard, Order};
+use front::closing::ClosingConnections;
 use front::jsonrpc::JsonRpc;
 use front::mysql::MysqlFront;
 use json::OwnedValue;
@@ -67,6 +68,8 @@
     exchange: Exchange,
     jsonrpc: JsonRpc,
     mysql: Option<(MysqlFront, MysqlBoxes)>,
+    /// Client connections that are being closed, of both fronts.
+    closing: ClosingConnections,
     warehouses: Warehouses,
     bulletin: Option<Bulletin>,
     control: Control,
@@ -183,9 +186,11 @@
         self.gate_due.take().into_iter().for_each(|before| self.deadlines.clear(before));
         self.gate_due = Some(self.deadlines.set(due, Wake::Fleet));
         let mut heard = Vec::new();
-        let Node { poll, deadlines, log, warehouses, .. } = self;
-        warehouses
-            .keep_links(most, &mut Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log });
+        let Node { poll, deadlines, log, warehouses, closing, .. } = self;
+        warehouses.keep_links(
+            most,
+            &mut Cx { now, registry: poll.registry(), deadlines, closing, heard: &mut heard, log },
+        );
         if !changed.is_empty() {
             self.xds.iter_mut().for_each(Feed::hurry);
             heard.push(Heard::Members(crate::ListKind::Changes, 0, changed));
@@ -239,8 +244,8 @@
 
     fn control_ready(&mut self, owner: Owner, now: f64) {
         let view = self.view();
-        let Node { poll, deadlines, log, control, control_listeners, .. } = self;
-        let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut Vec::new(), log };
+        let Node { poll, deadlines, log, control, control_listeners, closing, .. } = self;
+        let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard: &mut Vec::new(), log };
         if let Owner::Control(key) = owner {
             return control.ready(key, &view, &mut cx);
         }
@@ -254,23 +259,32 @@
 
     /// Takes a planned end further, as its machine says.
     fn look_at_end(&mut self, now: f64, heard: &mut Vec<Heard>) {
-        let Node { poll, deadlines, log, jsonrpc, mysql, exchange, ending, listeners, .. } = self;
+        let Node { poll, deadlines, log, jsonrpc, mysql, exchange, ending, closing, .. } = self;
         let Some(ending) = ending else { return };
         exchange.refuse_hopeless(now, deadlines);
-        let written = jsonrpc.all_written() && mysql.iter().all(|(front, _)| front.all_written());
-        let todo = ending.look(now, exchange.open_requests(), written);
-        let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
+        let connections = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len()) + closing.len();
+        let todo = ending.look(now, exchange.open_requests(), connections);
+        let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard, log };
         if todo.close_quiet {
-            jsonrpc.close_idle(&mut cx);
-            mysql.iter_mut().for_each(|(front, _)| front.close_idle(&mut cx));
+            exchange.refuse_new();
+            jsonrpc.close_quiet(&mut cx);
+            mysql.iter_mut().for_each(|(front, _)| front.close_quiet(&mut cx));
         }
         if let Some(again) = todo.again {
             deadlines.set(again, Wake::Ending);
         }
         if todo.close_listeners {
-            listeners.clear();
+            self.close_listeners(now, heard);
         }
     }
+
+    /// Takes the connections that the system has accepted already, which would be reset, and closes the listeners.
+    fn close_listeners(&mut self, now: f64, heard: &mut Vec<Heard>) {
+        self.accept_paused = false;
+        self.accept(Front::JsonRpc, now, now, heard);
+        self.accept(Front::Mysql, now, now, heard);
+        self.listeners.clear();
+    }
 }
 
 fn listener_token(front: Front) -> mio::Token {
--- a/src/node/reactor.rs
+++ b/src/node/reactor.rs
@@ -23,6 +23,8 @@
     Bulletin(u32),
     /// A balancer's check or an xDS client.
     Control(Key),
+    /// A client's connection that is being closed.
+    Closing(Key),
 }
 
 impl Owner {
@@ -36,6 +38,7 @@
             Owner::MysqlBox(key) => (4, key.generation, key.slot),
             Owner::Bulletin(n) => (5, 0, n),
             Owner::Control(key) => (6, key.generation, key.slot),
+            Owner::Closing(key) => (7, key.generation, key.slot),
         };
         Token((kind << 56) | ((generation as usize & 0x00ff_ffff) << 32) | slot as usize)
     }
@@ -52,6 +55,7 @@
             4 => Owner::MysqlBox(key),
             5 => Owner::Bulletin(slot),
             6 => Owner::Control(key),
+            7 => Owner::Closing(key),
             _ => return None,
         })
     }
@@ -110,6 +114,10 @@
     pub fn watch(&mut self, registry: &Registry, owner: Owner) -> io::Result<()> {
         registry.register(&mut self.stream, owner.token(), Interest::READABLE | Interest::WRITABLE)
     }
+    /// Has the poll watch it for another owner from now on.
+    pub fn rewatch(&mut self, registry: &Registry, owner: Owner) -> io::Result<()> {
+        registry.reregister(&mut self.stream, owner.token(), Interest::READABLE | Interest::WRITABLE)
+    }
     /// Whether a dialled link is up: `None` while it is not known.
     pub fn connected(&mut self) -> Option<io::Result<()>> {
         match self.stream.take_error() {
--- a/src/node/slots.rs
+++ b/src/node/slots.rs
@@ -25,13 +25,18 @@
 impl<T> Slots<T> {
     /// Puts an item into a free slot.
     pub fn insert(&mut self, item: T) -> Key {
+        self.insert_with(|_| item)
+    }
+    /// Puts an item into a free slot that has to know its own key.
+    pub fn insert_with(&mut self, item: impl FnOnce(Key) -> T) -> Key {
         let slot = self.free.pop().unwrap_or_else(|| {
             self.slots.push((0, None));
             self.slots.len() as u32 - 1
         });
         let place = &mut self.slots[slot as usize];
-        place.1 = Some(item);
-        Key { slot, generation: place.0 }
+        let key = Key { slot, generation: place.0 };
+        place.1 = Some(item(key));
+        key
     }
     /// The item under a key, while it is there.
     pub fn get(&self, key: Key) -> Option<&T> {
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -68,6 +68,7 @@
             exchange,
             jsonrpc,
             mysql,
+            closing: ClosingConnections::default(),
             warehouses,
             bulletin,
             control: Control::new(config.control.cluster),
--- a/src/node/turns.rs
+++ b/src/node/turns.rs
@@ -1,6 +1,7 @@
 //! One turn of the loop: sockets, deadlines, news, and the core's orders carried out.
 
 use super::*;
+use mio::event::Event;
 
 impl Node {
     /// One turn: waits for sockets or a deadline, handles all that there is. Under a set clock it waits for sockets
@@ -8,8 +9,9 @@
     pub fn turn(&mut self, most: Duration) -> io::Result<()> {
         let from = self.clock.now();
         let again = self.jsonrpc.take_again();
+        let unread = self.closing.take_unread();
         let due = self.deadlines.first().map_or(f64::INFINITY, |at| (at - from).max(0.0));
-        let most = if again.is_empty() { most } else { Duration::ZERO };
+        let most = if again.is_empty() && unread.is_empty() { most } else { Duration::ZERO };
         let wait = if self.clock.is_set() && due > 0.0 { most } else { most.min(millis(due)) };
         match self.poll.poll(&mut self.events, Some(wait)) {
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(()),
@@ -18,11 +20,13 @@
         let now = self.clock.now();
         // What a poll finds at once may have come while the turn before was at work; what it waited for is fresh.
         let sent = if now - from < 0.2 { from } else { now } - TRANSIT_MS;
-        let owners: Vec<Owner> = self.events.iter().filter_map(|event| Owner::of(event.token())).collect();
+        let ready = |event: &Event| Some((Owner::of(event.token())?, event.is_read_closed()));
+        let owners: Vec<(Owner, bool)> = self.events.iter().filter_map(ready).collect();
         // Those that flood come last: whoever has something new to say is heard first.
-        for owner in owners.into_iter().chain(again.into_iter().map(Owner::JsonRpc)) {
+        let again = again.into_iter().map(Owner::JsonRpc).chain(unread.into_iter().map(Owner::Closing));
+        for (owner, read_closed) in owners.into_iter().chain(again.map(|owner| (owner, false))) {
             let now = self.clock.now();
-            self.ready(owner, now, sent);
+            self.ready(owner, read_closed, now, sent);
         }
         let now = self.clock.now();
         while let Some(wake) = self.deadlines.pop(now) {
@@ -33,25 +37,29 @@
         Ok(())
     }
 
-    pub(super) fn ready(&mut self, owner: Owner, now: f64, sent: f64) {
+    /// A socket has something to say. `read_closed`: the other side has closed, whatever is left to read.
+    fn ready(&mut self, owner: Owner, read_closed: bool, now: f64, sent: f64) {
         let mut heard = Vec::new();
         if let Owner::Control(_) | Owner::Fixed(HTTP_LISTENER | AGENT_LISTENER) = owner {
             return self.control_ready(owner, now);
         }
-        let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, .. } = self;
-        let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log };
+        let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, closing, .. } = self;
+        let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard: &mut heard, log };
         match owner {
             Owner::Fixed(SIGNAL) => self.end(),
             Owner::Fixed(RELOAD) => {} // Only ends the wait.
             Owner::Fixed(LISTENER) => self.accept(Front::JsonRpc, now, sent, &mut heard),
             Owner::Fixed(_) => self.accept(Front::Mysql, now, sent, &mut heard),
-            Owner::JsonRpc(key) => jsonrpc.ready(key, sent, &mut cx),
+            Owner::JsonRpc(key) => jsonrpc.ready(key, read_closed, sent, &mut cx),
+            Owner::Closing(key) => closing.ready(key, deadlines),
             Owner::Warehouse(key) => warehouses.ready(key, &mut cx),
             Owner::Bulletin(generation) => {
                 let news = bulletin.as_mut().map(|b| b.ready(now, generation)).unwrap_or_default();
                 self.news(news, &mut heard);
             }
-            Owner::Mysql(key) => mysql.iter_mut().for_each(|(front, _)| front.ready(key, &mut cx)),
+            Owner::Mysql(key) => {
+                mysql.iter_mut().for_each(|(front, _)| front.ready(key, read_closed, &mut cx));
+            }
             Owner::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.ready(key, &mut cx)),
             Owner::Control(_) => {} // Handled above.
         }
@@ -61,8 +69,8 @@
     pub(super) fn wake(&mut self, wake: Wake, now: f64) {
         let mut heard = Vec::new();
         let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, exchange, control, .. } = self;
-        let registry = poll.registry();
-        let mut cx = Cx { now, registry, deadlines, heard: &mut heard, log };
+        let (registry, closing) = (poll.registry(), &mut self.closing);
+        let mut cx = Cx { now, registry, deadlines, closing, heard: &mut heard, log };
         match wake {
             Wake::Module(timer) => exchange.timer(now, timer, deadlines),
             Wake::RequestOver(key) => exchange.request_over(now, key, deadlines),
@@ -77,6 +85,7 @@
                 self.accept(Front::Mysql, now, now, &mut heard);
             }
             Wake::Client(key) => jsonrpc.due(key, &mut cx),
+            Wake::ClosingConnection(key) => closing.expired(key),
             Wake::Ending => self.look_at_end(now, &mut heard),
             Wake::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.look(key, &mut cx)),
             Wake::MysqlLogin(key) => {
@@ -95,12 +104,14 @@
 
     pub(super) fn accept(&mut self, front: Front, now: f64, sent: f64, heard: &mut Vec<Heard>) {
         while !self.accept_paused {
-            let Node { poll, deadlines, log, jsonrpc, mysql, listeners, ending, .. } = self;
+            let Node { poll, deadlines, log, jsonrpc, mysql, listeners, ending, closing, .. } = self;
             let Some((_, listener)) = listeners.iter().find(|(of, _)| *of == front) else { return };
-            let clients = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len());
-            let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
+            let clients = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len()) + closing.len();
+            let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard, log };
             // Guards against clients that ask once and stay, or never ask: they make room for those that come.
-            let full = clients >= self.client_sockets && !jsonrpc.make_room(&mut cx);
+            let full = clients >= self.client_sockets
+                && !cx.closing.evict(cx.deadlines)
+                && !jsonrpc.make_room(sent, &mut cx);
             let accepted = if full { Err(ErrorKind::QuotaExceeded.into()) } else { listener.accept() };
             match accepted {
                 Ok((stream, _)) => {
@@ -127,8 +138,8 @@
             self.xds.iter_mut().for_each(Feed::hurry);
         }
         for News { number, kind, listings } in news {
-            let Node { poll, deadlines, log, mysql, warehouses, .. } = self;
-            let mut cx = Cx { now, registry: poll.registry(), deadlines, heard, log };
+            let Node { poll, deadlines, log, mysql, warehouses, closing, .. } = self;
+            let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard, log };
             warehouses.members(kind, &listings, &mut cx);
             mysql.iter_mut().for_each(|(_, boxes)| boxes.members(kind, &listings, &mut cx));
             for listing in &listings {
@@ -159,8 +170,8 @@
             if orders.is_empty() {
                 return;
             }
-            let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, .. } = self;
-            let mut cx = Cx { now, registry: poll.registry(), deadlines, heard: &mut heard, log };
+            let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, closing, .. } = self;
+            let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard: &mut heard, log };
             for order in orders {
                 match (order, mysql.as_mut()) {
                     (Order::Answer(asker, answer), Some((front, _))) if asker.front == Front::Mysql => {
@@ -179,6 +190,10 @@
                             None => warehouses.give_up(attempt, again, &mut cx),
                         }
                     }
+                    (Order::Withdraw(attempt), boxes) => {
+                        warehouses.withdraw(attempt, &mut cx);
+                        boxes.into_iter().for_each(|(_, boxes)| boxes.withdraw(attempt, &mut cx));
+                    }
                     (Order::Hurry(attempt, priority), _) => warehouses.hurry(attempt, priority, &mut cx),
                     (Order::CloseIdle(engine), boxes) => {
                         warehouses.close_idle(&engine, &mut cx);
--- a/src/run.rs
+++ b/src/run.rs
@@ -16,6 +16,8 @@
 
 /// Serves until it is asked to end.
 pub fn run(run: Run) -> Result<(), String> {
+    // First of all: until they are caught, SIGHUP and SIGTERM kill the process.
+    let mut signals = Signals::catch().map_err(|e| format!("signals: {e}"))?;
     let path = std::env::var("NODE_CONFIG").map_err(|_| "config: NODE_CONFIG is not set".to_owned())?;
     let files = Files { config: path.into(), operator: run.operator };
     let config = files.read().map_err(|e| e.to_string())?;
@@ -28,11 +30,9 @@
             .map_err(|e| format!("signals: {e}"))?;
     }
     let mut node = Node::new(config, Clock::system()).map_err(|e| format!("start: {e}"))?;
-    let (mut ended, signal) = mio::net::UnixStream::pair().map_err(|e| format!("signals: {e}"))?;
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, signal)
-        .map_err(|e| format!("signals: {e}"))?;
-    node.watch_signal(&mut ended).map_err(|e| format!("signals: {e}"))?;
-    let reloads = start_reloads(files, node.waker().map_err(|e| format!("signals: {e}"))?)?;
+    node.watch_signal(&mut signals.terminate).map_err(|e| format!("signals: {e}"))?;
+    let waker = node.waker().map_err(|e| format!("signals: {e}"))?;
+    let reloads = start_reloads(files, signals.reload, waker)?;
     loop {
         for line in node.take_log() {
             log::line(&name, &line);
@@ -45,6 +45,22 @@
     }
 }
 
+/// Streams on which a byte comes with each signal, also with one that came before anybody read them.
+struct Signals {
+    terminate: mio::net::UnixStream,
+    reload: UnixStream,
+}
+
+impl Signals {
+    fn catch() -> std::io::Result<Signals> {
+        let (terminate, sender) = mio::net::UnixStream::pair()?;
+        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, sender)?;
+        let (reload, sender) = UnixStream::pair()?;
+        signal_hook::low_level::pipe::register(signal_hook::consts::SIGHUP, sender)?;
+        Ok(Signals { terminate, reload })
+    }
+}
+
 /// The files that tell how to serve.
 struct Files {
     config: PathBuf,
@@ -68,11 +84,9 @@
 /// A thread that reads the configuration anew on each SIGHUP, so that a slow disk or a large file stops nobody.
 fn start_reloads(
     files: Files,
+    mut asked: UnixStream,
     waker: Arc<mio::Waker>,
 ) -> Result<Receiver<Result<Config, ConfigError>>, String> {
-    let (mut asked, signal) = UnixStream::pair().map_err(|e| format!("signals: {e}"))?;
-    signal_hook::low_level::pipe::register(signal_hook::consts::SIGHUP, signal)
-        .map_err(|e| format!("signals: {e}"))?;
     let (sender, reloads) = std::sync::mpsc::channel();
     let work = move || {
         // Several signals at once are one: the file is read after the last.
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -7,6 +7,7 @@
 use beamgap::node::config::MysqlSettings;
 use beamgap::node::deadlines::Deadlines;
 use beamgap::node::exchange::{AttemptRef, Front, Heard, Payload, Start};
+use beamgap::node::front::closing::ClosingConnections;
 use beamgap::node::reactor::Owner;
 use beamgap::node::slots::Key;
 use beamgap::{Attempt, ClassId, EngineId, ListKind, Member, MemberState, Outcome};
@@ -84,8 +85,15 @@
         let address = listener.local_addr().unwrap();
         let poll = mio::Poll::new().unwrap();
         let (mut deadlines, mut heard, mut log) = (Deadlines::default(), Vec::new(), Vec::new());
-        let registry = poll.registry();
-        let mut cx = Cx { now: 0.0, registry, deadlines: &mut deadlines, heard: &mut heard, log: &mut log };
+        let mut closing = ClosingConnections::default();
+        let mut cx = Cx {
+            now: 0.0,
+            registry: poll.registry(),
+            deadlines: &mut deadlines,
+            closing: &mut closing,
+            heard: &mut heard,
+            log: &mut log,
+        };
         pool.members(listing(address, MemberState::Serving), &mut cx);
         pool.start(start(1), &mut cx);
         assert_eq!(outcomes(cx.heard), []);
@@ -106,8 +114,15 @@
     let mut poll = mio::Poll::new().unwrap();
     let (mut deadlines, mut heard, mut log) = (Deadlines::default(), Vec::new(), Vec::new());
     let registry = poll.registry().try_clone().unwrap();
-    let mut cx =
-        Cx { now: 0.0, registry: &registry, deadlines: &mut deadlines, heard: &mut heard, log: &mut log };
+    let mut closing = ClosingConnections::default();
+    let mut cx = Cx {
+        now: 0.0,
+        registry: &registry,
+        deadlines: &mut deadlines,
+        closing: &mut closing,
+        heard: &mut heard,
+        log: &mut log,
+    };
     pool.members(listing(listener.local_addr().unwrap(), MemberState::Serving), &mut cx);
     pool.start(start(1), &mut cx);
     drop(listener.accept().unwrap());
--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -202,6 +202,33 @@
         peer.push(format!("Content-Length: {}\r\n\r\n{message}", message.len()).as_bytes());
     }
 
+    /// A client's side of its connection.
+    pub fn client(&mut self, name: &str) -> &mut Peer {
+        self.clients.get_mut(name).expect("a client that has sent")
+    }
+
+    /// The connection on which an engine was last told something, by engine and number.
+    pub fn current_connection(&self) -> (usize, usize) {
+        self.current
+    }
+
+    /// The connections to discovery, oldest first.
+    pub fn watches(&mut self) -> &mut Vec<Peer> {
+        &mut self.list.conns
+    }
+
+    /// One turn of the node, in which nobody else does anything.
+    pub fn one_turn(&mut self) {
+        self.node.turn(Duration::from_millis(20)).expect("the loop goes on");
+    }
+
+    /// All that engines were sent, by line, names in the place of request ids.
+    pub fn sent_to_engines(&mut self) -> Vec<String> {
+        (0..10).for_each(|_| self.turn());
+        let peers = self.houses.iter_mut().flat_map(|house| &mut house.conns);
+        peers.flat_map(|peer| std::iter::from_fn(|| peer.line())).map(|line| named(&line)).collect()
+    }
+
     /// Lets the node alone work: engines take no connection meanwhile.
     pub fn node_turns(&mut self, turns: usize) {
         (0..turns).for_each(|_| self.node.turn(Duration::from_millis(1)).expect("the loop goes on"));
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -59,7 +59,8 @@
     stage.go(
         "c1 expect 1 error -32011 backoff\nc1 wait silent\nclock wait 3520\nc1 expect 2 error -32011 backoff",
     );
-    stage.go("clock wait 100");
+    // The client keeps its connection open: that does not hold the program until the kill at 3700 ms.
+    stage.go("clock wait 120");
     assert!(stage.node.ended());
 }
 
@@ -81,5 +82,7 @@
         clock wait 100");
     assert!(!stage.node.ended(), "requests may still come");
     stage.go("clock wait 120\nc1 expect closed\nc2 expect closed");
+    assert!(!stage.node.ended(), "the clients have not closed yet");
+    stage.go("c1 close\nc2 close\nclock wait 60");
     assert!(stage.node.ended());
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -157,6 +157,11 @@
     assert!(!stage.node.ended(), "one request is still open");
     stage.push(0, "c1-1", b"served pages=1 4\r\nx\t\t\n\r\n");
     stage.go("c1 expect 1 served x\\t\\t\\n
+        clock wait 60
+        c1 expect closed
+        c2 expect closed
+        c1 close
+        c2 close
         clock wait 60");
     assert!(stage.node.ended());
 }
--- /dev/null
+++ b/tests/races/clients.rs
@@ -0,0 +1,199 @@
+//! A client that leaves, against all that may be under way for it: nothing is begun after it has gone.
+
+use crate::stage::{named, rid, Stage, LIMITS, SETTINGS};
+use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
+
+/// Has an engine's listener take no further connection, so that dials stay under way.
+fn fill(stage: &Stage, house: usize) -> Vec<TcpStream> {
+    rustix::net::listen(&stage.houses[house].listener, 0).expect("its queue is cut to the shortest");
+    let address = stage.houses[house].address();
+    let dials = (0..4).map(|_| TcpStream::connect_timeout(&address, Duration::from_millis(50)));
+    dials.filter_map(Result::ok).collect()
+}
+
+/// Settings of a deployment that lets nothing be called off.
+fn without_cancel() -> String {
+    SETTINGS.replace(r#""Cancel":true"#, r#""Cancel":false"#)
+}
+
+fn leave(stage: &mut Stage, client: &str) {
+    stage.client(client).stream.shutdown(Shutdown::Write).unwrap();
+}
+
+/// A stage with an idle connection to its engine, on which a request would be written at once.
+fn with_idle_connection() -> Stage {
+    Stage::play(
+        1,
+        "c0 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c0-1 *
+        w send c0-1 served pages=1 x\\t\\t\\n
+        c0 expect 1 served x\\t\\t\\n",
+    )
+}
+
+/// What engines were sent so far; the node does nothing meanwhile.
+fn lines(stage: &mut Stage) -> Vec<String> {
+    let peers = stage.houses.iter_mut().flat_map(|house| &mut house.conns);
+    let lines = peers.flat_map(|peer| {
+        peer.pull();
+        std::iter::from_fn(|| peer.line())
+    });
+    lines.map(|line| named(&line)).collect()
+}
+
+#[test]
+fn a_request_whose_client_closes_in_the_same_read_is_not_begun() {
+    let mut stage = with_idle_connection();
+    stage.go("c1 send ask 1 lookup 2500 select 1 from s_1.t");
+    leave(&mut stage, "c1");
+    (0..3).for_each(|_| stage.one_turn());
+    assert_eq!(lines(&mut stage), [""; 0]);
+    assert_eq!(stage.node.open_requests(), 0);
+}
+
+#[test]
+fn a_request_that_is_cancelled_in_the_same_read_is_not_begun() {
+    let mut stage = with_idle_connection();
+    stage.go("c1 send ask 1 lookup 2500 select 1 from s_1.t\nc1 send cancel 1");
+    (0..3).for_each(|_| stage.one_turn());
+    assert_eq!(lines(&mut stage), [""; 0]);
+    assert_eq!(stage.node.open_requests(), 0);
+    stage.go("c1 wait silent");
+}
+
+#[test]
+fn the_close_behind_a_flood_is_seen_before_the_flood_is_read() {
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
+        w expect want c1-1 *",
+    );
+    // More than one turn reads of a client stands between its last request and its close, and no more than the system's
+    // window, behind which nobody could see the close.
+    let padded = format!(r#"{{"jsonrpc":"2.0","id":2,"method":"alive","pad":"{}"}}"#, "x".repeat(50_000));
+    let flood = format!("Content-Length: {}\r\n\r\n{padded}", padded.len()).repeat(2);
+    stage.client("c1").push(flood.as_bytes());
+    leave(&mut stage, "c1");
+    stage.one_turn();
+    assert_eq!(lines(&mut stage), ["never_mind c1-1"]);
+}
+
+#[test]
+fn the_close_of_a_client_that_reads_nothing_is_seen_behind_what_it_is_owed() {
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
+        w expect want c1-1 *",
+    );
+    rustix::net::sockopt::set_socket_recv_buffer_size(&stage.client("c1").stream, 4096).unwrap();
+    let page = format!("{}\t\t\n", "y".repeat(2985)).repeat(2);
+    // Whole results, until so much waits unwritten that the front reads no further requests.
+    for round in 1.. {
+        assert!(round < 10, "the system has taken all that was written");
+        let first = round * 20;
+        (first..first + 20)
+            .for_each(|id| stage.go(&format!("c1 send ask {id} lookup 2500 select 1 from s_1.t")));
+        let mut asked = 0;
+        for _ in 0..10 {
+            stage.node_turns(1);
+            stage.houses[0].pull();
+            for peer in &mut stage.houses[0].conns {
+                let told = std::iter::from_fn(|| peer.line()).collect::<Vec<_>>();
+                for line in told.iter().filter(|line| line.starts_with("want ")) {
+                    let name = line.split(' ').nth(1).unwrap().to_owned();
+                    let line = |word: &str| format!("{name} {word} {}\r\n{page}\r\n", page.len());
+                    let further: String = (1..8).map(|number| line(&format!("rows page={number}"))).collect();
+                    peer.push(format!("{}{further}", line("served pages=8")).as_bytes());
+                    asked += 1;
+                }
+            }
+        }
+        if asked < 20 {
+            break;
+        }
+    }
+    lines(&mut stage);
+    leave(&mut stage, "c1");
+    stage.one_turn();
+    let told = lines(&mut stage);
+    assert!(told.contains(&"never_mind c1-1".to_owned()), "{told:?}");
+}
+
+#[test]
+fn what_waits_behind_a_dial_goes_with_its_client() {
+    for settings in [SETTINGS.to_owned(), without_cancel()] {
+        let mut stage = Stage::with(1, r#""listen":"127.0.0.1:0","#, LIMITS, &settings);
+        let full = fill(&stage, 0);
+        stage.go("c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)");
+        stage.node_turns(5);
+        assert_eq!(stage.node.open_requests(), 1, "it waits behind its dial");
+        leave(&mut stage, "c1");
+        stage.node_turns(5);
+        assert_eq!(stage.node.open_requests(), 0, "nothing of it was written");
+        drop(full);
+        stage.go("clock wait 200");
+        assert_eq!(stage.sent_to_engines(), [""; 0], "the dial has come up after its client was gone");
+    }
+}
+
+#[test]
+fn what_waits_for_its_keys_predecessor_goes_with_its_client() {
+    let mut stage = Stage::in_order(1);
+    stage.go("c1 send ask 1 delivery-load@k1 25000 insert into s_1.t values (1)
+        w expect want c1-1 *
+        c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
+        c3 send ask 1 delivery-load@k1 25000 insert into s_1.t values (3)
+        w wait silent");
+    leave(&mut stage, "c2");
+    stage.go("c3 send cancel 1
+        w wait silent
+        w send c1-1 served pages=1 x\\t\\t\\n
+        c1 expect 1 served x\\t\\t\\n
+        clock wait 1000
+        w wait silent");
+    assert_eq!(stage.node.open_requests(), 0);
+}
+
+#[test]
+fn what_waits_for_an_engine_goes_with_its_client() {
+    let mut stage = Stage::play(1, "clock wait 100");
+    stage.tell_of(0, "2 1");
+    stage.go("c1 send ask 1 lookup 2500 select 1 from s_1.t\nc2 send ask 1 lookup 2500 select 2 from s_1.t\nc1 wait silent");
+    leave(&mut stage, "c1");
+    stage.go("c2 send cancel 1\nclock wait 100");
+    stage.tell_of(0, "3 0");
+    stage.go("clock wait 200");
+    assert_eq!(stage.sent_to_engines(), [""; 0]);
+    assert_eq!(stage.node.open_requests(), 0);
+}
+
+#[test]
+fn between_the_cancel_of_an_attempt_and_its_retry_a_client_that_leaves_ends_both() {
+    let mut stage = Stage::play(
+        1,
+        "c1 send ask 1 lookup 2500 select 1 from s_1.t
+        w expect want c1-1 *
+        clock wait 550
+        w expect never_mind c1-1
+        w expect there g1",
+    );
+    leave(&mut stage, "c1");
+    stage.one_turn();
+    stage.houses[0].conns[0].push(b"g1 green - 0\r\n\r\n");
+    stage.go("clock wait 300");
+    assert_eq!(stage.sent_to_engines(), [""; 0]);
+    assert_eq!(stage.node.open_requests(), 0);
+}
+
+#[test]
+fn a_client_that_leaves_takes_nothing_from_another_that_uses_its_name() {
+    let mut stage = Stage::play(1, "c1 send ask 1 lookup 2500 select 1 from s_1.t\nw expect want c1-1 *");
+    let same = format!(
+        r#"{{"jsonrpc":"2.0","id":1,"method":"lookup","params":{{"rid":"{}","budget":2500,"doc":"c2VsZWN0IDE="}}}}"#,
+        rid("c1-1")
+    );
+    stage.go(&format!("c2 send {same}\nc2 expect 1 error -32011 backoff"));
+    leave(&mut stage, "c2");
+    stage.go("w wait silent\nw send c1-1 served pages=1 x\\t\\t\\n\nc1 expect 1 served x\\t\\t\\n");
+}
--- /dev/null
+++ b/tests/races/discovery.rs
@@ -0,0 +1,211 @@
+//! The watch on discovery: silent, late, repeated, in pieces, moved, and dead in the instant in which it speaks.
+
+use crate::stage::{House, Stage};
+use beamgap::node::config::Config;
+use std::net::SocketAddr;
+
+const SERVING: u8 = 0;
+const DRAINING: u8 = 1;
+const GONE: u8 = 2;
+const NOTHING: u8 = 0;
+const WHOLE: u8 = 1;
+const CHANGES: u8 = 2;
+
+fn record(id: u32, address: SocketAddr, state: u8) -> Vec<u8> {
+    let SocketAddr::V4(at) = address else { panic!("loopback is v4") };
+    let mut record = id.to_be_bytes().to_vec();
+    record.extend(at.ip().octets());
+    record.extend(at.port().to_be_bytes());
+    record.extend([state, 0, 0, 0, 0]);
+    record.extend(1000u32.to_be_bytes());
+    record.extend(0u64.to_be_bytes());
+    record
+}
+
+fn frame(number: u64, kind: u8, records: &[Vec<u8>]) -> Vec<u8> {
+    let records = records.concat();
+    let mut frame = (9 + records.len() as u32).to_be_bytes().to_vec();
+    frame.extend(number.to_be_bytes());
+    frame.push(kind);
+    frame.extend(records);
+    frame
+}
+
+/// A stage whose node has greeted discovery, so many engines in its first list.
+fn watching(engines: usize) -> Stage {
+    let mut stage = Stage::play(engines, "clock wait 20");
+    greeted(&mut stage, 1);
+    stage
+}
+
+/// Waits for a connection to discovery on which so many have been before; the number that it names.
+fn greeted(stage: &mut Stage, connections: usize) -> u64 {
+    stage.expect("a watch", |stage| {
+        stage.clock.set(stage.clock.now() + 10.0);
+        let watches = stage.watches();
+        watches.len() >= connections && watches.last().is_some_and(|peer| peer.input.len() >= 8)
+    });
+    let input = &stage.watches().last().unwrap().input;
+    u64::from_be_bytes(input[..8].try_into().unwrap())
+}
+
+fn speak(stage: &mut Stage, watch: usize, bytes: &[u8]) {
+    stage.watches()[watch].push(bytes);
+    (0..5).for_each(|_| stage.turn());
+}
+
+/// What the node took of its lists since the last call: number, engine and state of each entry.
+fn taken(stage: &mut Stage) -> Vec<String> {
+    let lines = stage.node.take_log().into_iter().filter(|line| line.starts_with("list: no="));
+    let short = |line: String| {
+        let words: Vec<&str> = line.split(' ').collect();
+        format!("{} {} {}", words[1], words[2], words[4])
+    };
+    lines.map(short).collect()
+}
+
+#[test]
+fn a_watch_that_is_silent_from_the_start_is_dialled_again_within_the_time_to_be_told() {
+    let mut stage = watching(1);
+    let began = stage.clock.now();
+    assert_eq!(greeted(&mut stage, 2), 1, "it goes on from the last number that it had");
+    assert!(stage.clock.now() - began < 3500.0, "a change counts as told after 7 s");
+}
+
+#[test]
+fn a_watch_that_falls_silent_after_long_service_misses_no_drain() {
+    let mut stage = watching(2);
+    for second in 0..13 {
+        speak(&mut stage, 0, &frame(1, NOTHING, &[]));
+        stage.go("clock wait 1000");
+        assert_eq!(stage.watches().len(), 1, "after {second} s");
+    }
+    // From now on it is open and silent, and an engine drains.
+    let began = stage.clock.now();
+    assert_eq!(greeted(&mut stage, 2), 1);
+    let at = stage.houses[0].address();
+    speak(&mut stage, 1, &frame(2, CHANGES, &[record(0, at, DRAINING)]));
+    assert!(stage.clock.now() - began < 5000.0);
+    stage.node.take_log();
+    for id in 1..6 {
+        stage.go(&format!("c1 send ask {id} lookup 2500 select 1 from s_1.t\nw expect want c1-{id} *"));
+        assert_eq!(stage.current_connection().0, 1, "nothing new goes to the engine that drains");
+    }
+}
+
+#[test]
+fn frames_in_single_bytes_and_several_in_one_read_are_each_taken_once() {
+    let mut stage = watching(1);
+    stage.node.take_log();
+    let at = stage.houses[0].address();
+    for byte in frame(2, CHANGES, &[record(0, at, DRAINING)]) {
+        stage.watches()[0].push(&[byte]);
+        stage.one_turn();
+    }
+    assert_eq!(taken(&mut stage), ["no=2 engine=s-00000000 state=Draining"]);
+    let whole = frame(3, WHOLE, &[record(0, at, SERVING), record(7, at, GONE)]);
+    let two = [whole, frame(4, CHANGES, &[record(0, at, DRAINING)])].concat();
+    speak(&mut stage, 0, &two);
+    assert_eq!(
+        taken(&mut stage),
+        [
+            "no=3 engine=s-00000000 state=Serving",
+            "no=3 engine=s-00000007 state=Gone",
+            "no=4 engine=s-00000000 state=Draining"
+        ]
+    );
+}
+
+#[test]
+fn a_list_that_repeats_or_goes_back_changes_nothing() {
+    let mut stage = watching(1);
+    let at = stage.houses[0].address();
+    speak(&mut stage, 0, &frame(5, CHANGES, &[record(0, at, DRAINING)]));
+    stage.node.take_log();
+    // The same event again, one before it, and a whole list from before the drain.
+    speak(&mut stage, 0, &frame(5, CHANGES, &[record(0, at, SERVING)]));
+    speak(&mut stage, 0, &frame(4, CHANGES, &[record(0, at, SERVING)]));
+    speak(&mut stage, 0, &frame(3, WHOLE, &[record(0, at, SERVING)]));
+    assert_eq!(taken(&mut stage), [""; 0]);
+    speak(&mut stage, 0, &frame(6, CHANGES, &[record(0, at, SERVING)]));
+    assert_eq!(taken(&mut stage), ["no=6 engine=s-00000000 state=Serving"]);
+}
+
+#[test]
+fn a_whole_list_behind_changes_leaves_out_what_it_does_not_name() {
+    let mut stage = watching(2);
+    let (first, second) = (stage.houses[0].address(), stage.houses[1].address());
+    let changes = frame(2, CHANGES, &[record(1, second, SERVING)]);
+    speak(&mut stage, 0, &[changes, frame(3, WHOLE, &[record(0, first, SERVING)])].concat());
+    stage.go("clock wait 50");
+    for id in 1..6 {
+        stage.go(&format!("c1 send ask {id} lookup 2500 select 1 from s_1.t\nw expect want c1-{id} *"));
+        assert_eq!(stage.current_connection().0, 0);
+    }
+}
+
+/// A configuration with discovery at another address.
+fn moved(stage: &Stage, to: &House) -> Config {
+    let config = stage.config(r#""listen":"127.0.0.1:0","#);
+    let (before, rest) = config.split_once(r#""bulletin":""#).unwrap();
+    let (_, rest) = rest.split_once('"').unwrap();
+    let config = format!(r#"{before}"bulletin":"{}"{rest}"#, to.address());
+    Config::read(config.into_bytes(), &|_| None).unwrap()
+}
+
+#[test]
+fn after_a_reload_the_new_watch_counts_and_the_old_one_is_not_heard() {
+    let mut stage = watching(1);
+    let at = stage.houses[0].address();
+    let mut to = House::new();
+    let config = moved(&stage, &to);
+    // The old watch speaks in the very turn of the reload: its bytes are there, and its connection is given up.
+    stage.watches()[0].push(&frame(2, CHANGES, &[record(0, at, SERVING)]));
+    stage.node.reload(Ok(config));
+    stage.node.take_log();
+    stage.expect("the new watch", |stage| {
+        stage.clock.set(stage.clock.now() + 10.0);
+        stage.turn();
+        to.pull();
+        to.conns.last().is_some_and(|peer| peer.input.len() >= 8)
+    });
+    assert_eq!(taken(&mut stage), [""; 0], "the old watch is not heard");
+    assert_eq!(to.conns[0].input[..8], 1u64.to_be_bytes(), "the event that was not heard is asked for");
+    // The drain comes in the first message of the new one.
+    to.conns[0].push(&frame(2, CHANGES, &[record(0, at, DRAINING)]));
+    stage.go("clock wait 20\nc1 send ask 1 lookup 2500 select 1 from s_1.t\nclock wait 300");
+    assert_eq!(stage.sent_to_engines(), [""; 0]);
+}
+
+#[test]
+fn discovery_that_is_back_as_the_retry_timer_fires_is_connected_once() {
+    let mut stage = watching(1);
+    // The watch breaks, and its retry is due in the turn that reads the break.
+    stage.watches().clear();
+    stage.clock.set(stage.clock.now() + 700.0);
+    (0..3).for_each(|_| stage.one_turn());
+    assert_eq!(greeted(&mut stage, 1), 1);
+    stage.go("clock wait 1500");
+    assert_eq!(stage.watches().len(), 1, "no second dial drops the first");
+}
+
+#[test]
+fn an_engine_back_under_its_id_at_another_address_gets_what_was_queued_for_the_old_one() {
+    let mut stage = watching(1);
+    let new = House::new();
+    rustix::net::listen(&stage.houses[0].listener, 0).unwrap();
+    let old = stage.houses[0].address();
+    let wait = std::time::Duration::from_millis(50);
+    let _full: Vec<_> =
+        (0..4).filter_map(|_| std::net::TcpStream::connect_timeout(&old, wait).ok()).collect();
+    stage.go("c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)");
+    stage.node_turns(5);
+    let both =
+        [frame(2, CHANGES, &[record(0, old, GONE)]), frame(3, CHANGES, &[record(0, new.address(), SERVING)])];
+    stage.watches()[0].push(&both.concat());
+    stage.houses.push(new);
+    stage.node_turns(5);
+    stage.go("clock wait 100\nw expect want c1-1 *");
+    assert_eq!(stage.current_connection().0, 1, "it never ran at the old address");
+    stage.go("w send c1-1 served pages=1 x\\t\\t\\n\nc1 expect 1 served x\\t\\t\\n");
+}
