--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -229,6 +229,43 @@
         peers.flat_map(|peer| std::iter::from_fn(|| peer.line())).map(|line| named(&line)).collect()
     }
 
+    /// Has a client that reads nothing ask for whole results, numbered from `first`, until so much waits unwritten that
+    /// the front reads no further requests. How many were asked for.
+    pub fn fill_with_results(&mut self, client: &str, first: usize) -> usize {
+        const ROUND: usize = 20;
+        let page = format!("{}\t\t\n", "y".repeat(2985)).repeat(2);
+        for round in 0..10 {
+            let from = first + round * ROUND;
+            for id in from..from + ROUND {
+                self.go(&format!("{client} send ask {id} lookup 2500 select 1 from s_1.t"));
+            }
+            if self.serve_results(&page) < ROUND {
+                return (round + 1) * ROUND;
+            }
+        }
+        panic!("the system has taken all that was written");
+    }
+
+    /// Engines answer what they were asked with eight such pages; how many requests that were.
+    fn serve_results(&mut self, page: &str) -> usize {
+        let mut served = 0;
+        for _ in 0..10 {
+            self.node_turns(1);
+            self.houses.iter_mut().for_each(House::pull);
+            for peer in self.houses.iter_mut().flat_map(|house| &mut house.conns) {
+                let lines: Vec<String> = std::iter::from_fn(|| peer.line()).collect();
+                for want in lines.iter().filter(|line| line.starts_with("want ")) {
+                    let name = want.split(' ').nth(1).expect("a request has a name");
+                    let line = |word: &str| format!("{name} {word} {}\r\n{page}\r\n", page.len());
+                    let further: String = (1..8).map(|number| line(&format!("rows page={number}"))).collect();
+                    peer.push(format!("{}{further}", line("served pages=8")).as_bytes());
+                    served += 1;
+                }
+            }
+        }
+        served
+    }
+
     /// Lets the node alone work: engines take no connection meanwhile.
     pub fn node_turns(&mut self, turns: usize) {
         (0..turns).for_each(|_| self.node.turn(Duration::from_millis(1)).expect("the loop goes on"));
