--- a/tests/races/descriptors.rs
+++ b/tests/races/descriptors.rs
@@ -9,7 +9,7 @@
 
 const DESCRIPTORS: usize = 96;
 const PATIENCE: Duration = Duration::from_secs(20);
-const ALIVE: &str = "Content-Length: 43\r\n\r\n{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"alive\" }  ";
+const ALIVE: &str = r#"{"jsonrpc":"2.0","id":1,"method":"alive"}"#;
 
 struct Program(Child);
 
@@ -36,7 +36,7 @@
 fn ask(address: SocketAddr) -> Option<TcpStream> {
     let mut stream = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
     stream.set_read_timeout(Some(PATIENCE)).ok()?;
-    stream.write_all(ALIVE.as_bytes()).ok()?;
+    write!(stream, "Content-Length: {}\r\n\r\n{ALIVE}", ALIVE.len()).ok()?;
     let mut answer = [0; 20];
     stream.read_exact(&mut answer).ok()?;
     Some(stream)
--- a/tests/races/main.rs
+++ b/tests/races/main.rs
@@ -1,7 +1,5 @@
 //! Events that may come in either order, each made to come in the bad one. `docs/races.md` is the table of them.
 
-#[path = "../common/boxes.rs"]
-mod boxes;
 #[path = "../common/stage.rs"]
 mod stage;
 
