--- a/src/node/control/mod.rs
+++ b/src/node/control/mod.rs
@@ -21,8 +21,8 @@
 /// The node as those outside may see it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct View {
-    /// A planned end has begun.
-    pub ending: bool,
+    /// A graceful shutdown has begun.
+    pub shutting_down: bool,
     /// Why a fleet's policy lets nothing in now, if so.
     pub why_not: Option<String>,
     /// The share of the work asked for that is admitted, from 0 to 1; 0 where no engine takes any.
@@ -36,12 +36,12 @@
 impl View {
     /// Whether new work is welcome.
     pub fn ready(&self) -> bool {
-        !self.ending && self.why_not.is_none() && self.admitted > 0.0
+        !self.shutting_down && self.why_not.is_none() && self.admitted > 0.0
     }
 
     /// The line that answers an agent check: an administrative word, a state, and a weight for the balancer.
     pub fn agent_line(&self) -> String {
-        if self.ending {
+        if self.shutting_down {
             "drain\n".to_owned()
         } else if !self.ready() {
             let why = self.why_not.as_deref().unwrap_or("no engine takes work");
--- a/src/node/deadlines.rs
+++ b/src/node/deadlines.rs
@@ -34,8 +34,8 @@
     Fleet,
     /// Accepting was paused for want of descriptors.
     AcceptAgain,
-    /// A planned end may be near.
-    Ending,
+    /// A graceful shutdown is to be taken further.
+    Shutdown,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -88,20 +88,3 @@
         Some(first.remove())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn deadlines_come_in_order_and_can_be_taken_back() {
-        let mut deadlines = Deadlines::default();
-        deadlines.set(20.0, Wake::Ending);
-        let gone = deadlines.set(5.0, Wake::AcceptAgain);
-        deadlines.set(10.0, Wake::Bulletin);
-        deadlines.clear(gone);
-        assert_eq!((deadlines.first(), deadlines.pop(9.9)), (Some(10.0), None));
-        assert_eq!(deadlines.pop(30.0), Some(Wake::Bulletin));
-        assert_eq!((deadlines.pop(30.0), deadlines.pop(30.0)), (Some(Wake::Ending), None));
-    }
-}
--- a/src/node/exchange/mod.rs
+++ b/src/node/exchange/mod.rs
@@ -1,11 +1,11 @@
 //! The core: requests, attempts and outcomes, and no wire. It keeps the table of open requests, drives the
 //! decision module, and owns two promises: one final answer for each request, and one attempt out at most.
 
-mod end;
 mod module;
 pub mod orders;
 pub mod request;
 mod seen;
+mod shutdown;
 
 use super::clock::{from_micros, to_micros};
 use super::deadlines::{Deadlines, Handle, Wake};
@@ -29,7 +29,7 @@
 
 /// After the client's deadline, an answer that is still owed is given this much later: the decision module has
 /// had its time-out by then, and the platform's grace is 20 ms.
-const LAST_WORD: f64 = 10.0;
+const ANSWER_GRACE_MS: f64 = 10.0;
 
 /// When a refused client is to come back, in milliseconds, where the decision module does not say.
 const BACKOFF: f64 = 1000.0;
@@ -81,9 +81,9 @@
     lingering: Vec<(f64, Rc<Held>)>,
     /// Zones of engines, kept only where a fleet's policy may ask for them.
     zones: Option<HashMap<EngineId, String>>,
-    /// When a planned end gives its last word; nothing is owed beyond.
-    last_word: f64,
-    /// Whether what comes from now on is refused, since a planned end closes its connections.
+    /// The response deadline of a graceful shutdown; nothing is owed beyond.
+    response_deadline: f64,
+    /// Whether what comes from now on is refused, since a graceful shutdown closes its connections.
     refuses_new: bool,
     orders: Vec<Order>,
     logs: Vec<String>,
@@ -110,7 +110,7 @@
             askers: HashMap::new(),
             lingering: Vec::new(),
             zones: None,
-            last_word: f64::INFINITY,
+            response_deadline: f64::INFINITY,
             refuses_new: false,
             orders: Vec::new(),
             logs: Vec::new(),
@@ -210,7 +210,7 @@
     pub fn request_over(&mut self, now: f64, key: Key, deadlines: &mut Deadlines) {
         let Some(open) = self.open.get(key) else { return };
         let id = RequestId(open.ask.name.clone());
-        // Before its time only a planned end cuts it off.
+        // Before its time only a graceful shutdown cuts it off.
         let cut = now < open.deadline;
         let answer = if cut { self.given_up(key, BACKOFF) } else { Answer::TimedOut };
         self.answer(key, answer);
@@ -238,7 +238,7 @@
         let request = Request {
             id: id.clone(),
             class: ask.class,
-            left: to_micros(deadline.min(self.last_word) - now),
+            left: to_micros(deadline.min(self.response_deadline) - now),
             tables: ask.tables,
             work_hint: ask.work_ms.filter(|ms| *ms > 0.0).map(to_micros),
             memory_hint_mb: ask.memory_mb.filter(|mb| *mb > 0.0),
@@ -262,7 +262,7 @@
             unsure: false,
         });
         if let Some(open) = self.open.get_mut(key) {
-            let over = (deadline + LAST_WORD).min(self.last_word.max(now));
+            let over = (deadline + ANSWER_GRACE_MS).min(self.response_deadline.max(now));
             open.over = Some(deadlines.set(over, Wake::RequestOver(key)));
         }
         trace!(target: ACCOUNT, "ask: id={} class={}", id.0, self.open.get(key).map_or(0, |o| o.ask.class.0));
@@ -279,8 +279,8 @@
         let key = ended.attempt.request;
         if let Some(answer) = ended.answer {
             self.answer(key, answer);
-        } else if self.open.get(key).is_some_and(|open| open.is_spent() || self.is_hopeless(now, open)) {
-            // Its policy allows no further attempt, or none could end before a planned end: it hears so at once.
+        } else if self.open.get(key).is_some_and(|open| open.is_spent() || self.is_unfinishable(now, open)) {
+            // Its policy allows no further attempt, or none could end before a graceful shutdown: it hears so at once.
             let answer = self.given_up(key, BACKOFF);
             self.answer(key, answer);
             closed.request_over = true;
--- a/src/node/exchange/end.rs
+++ b/src/node/exchange/shutdown.rs
@@ -1,4 +1,5 @@
-//! Ends: of a request whose work may go on; and a planned end: what is owed at its last word, and what can't end before.
+//! The end of a request whose work may go on, and of all requests in a graceful shutdown: what is owed at its response
+//! deadline is answered, and what can't be finished before is refused.
 
 use super::*;
 
@@ -18,18 +19,18 @@
         self.lingering.retain(|(until, _)| now < *until);
     }
 
-    /// A planned end has begun: what is still owed at `last_word` is answered then, and what can't end before is refused
+    /// A graceful shutdown has begun: what is still owed at `response_deadline` is answered then, and what can't end before is refused
     /// at once where it was never sent.
-    pub fn end_by(&mut self, now: f64, last_word: f64, deadlines: &mut Deadlines) {
-        self.last_word = last_word;
+    pub fn shut_down_by(&mut self, now: f64, response_deadline: f64, deadlines: &mut Deadlines) {
+        self.response_deadline = response_deadline;
         for key in self.open.keys() {
-            let Some(open) = self.open.get_mut(key).filter(|open| open.deadline > last_word) else {
+            let Some(open) = self.open.get_mut(key).filter(|open| open.deadline > response_deadline) else {
                 continue;
             };
             open.over.take().into_iter().for_each(|over| deadlines.clear(over));
-            open.over = Some(deadlines.set(last_word, Wake::RequestOver(key)));
+            open.over = Some(deadlines.set(response_deadline, Wake::RequestOver(key)));
         }
-        self.refuse_hopeless(now, deadlines);
+        self.refuse_unfinishable(now, deadlines);
     }
 
     /// From now on each new request is refused: its connection is about to be closed.
@@ -46,13 +47,13 @@
         }
     }
 
-    /// Refuses what waits, was never sent, and can't end any more before the last word of a planned end.
-    pub fn refuse_hopeless(&mut self, now: f64, deadlines: &mut Deadlines) {
+    /// Refuses what waits, was never sent, and can't end any more before the response deadline of a graceful shutdown.
+    pub fn refuse_unfinishable(&mut self, now: f64, deadlines: &mut Deadlines) {
         for key in self.open.keys() {
             let Some(open) = self.open.get(key).filter(|open| open.sent == 0 && open.asker.is_some()) else {
                 continue;
             };
-            if self.is_hopeless(now, open) {
+            if self.is_unfinishable(now, open) {
                 let id = RequestId(open.ask.name.clone());
                 self.answer(key, Answer::Refused { backoff_ms: BACKOFF });
                 self.tell(now, Event::Abandoned(id), deadlines);
@@ -61,9 +62,9 @@
         }
     }
 
-    /// Whether a request that begins now can't end before the last word, by its own estimate.
-    pub(super) fn is_hopeless(&self, now: f64, open: &Open) -> bool {
+    /// Whether a request that begins now can't end before the response deadline, by its own estimate.
+    pub(super) fn is_unfinishable(&self, now: f64, open: &Open) -> bool {
         let threads = self.settings.classes[open.ask.class.0].threads.max(0.1);
-        now + open.ask.work_ms.unwrap_or(0.0) / threads > self.last_word
+        now + open.ask.work_ms.unwrap_or(0.0) / threads > self.response_deadline
     }
 }
--- a/src/node/front/jsonrpc/mod.rs
+++ b/src/node/front/jsonrpc/mod.rs
@@ -325,7 +325,7 @@
         }
     }
 
-    /// Closes the connections on which nothing is open or half said; used at a planned end.
+    /// Closes the connections on which nothing is open or half said; used in a graceful shutdown.
     pub fn close_quiet(&mut self, cx: &mut Cx) {
         for key in self.clients.keys() {
             self.ready(key, false, cx.now, cx); // What came since the poll is not to be lost by a close over it.
--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -291,7 +291,7 @@
         }
     }
 
-    /// Closes the sessions in which nothing is open or half said; used at a planned end.
+    /// Closes the sessions in which nothing is open or half said; used in a graceful shutdown.
     pub fn close_quiet(&mut self, cx: &mut Cx) {
         for key in self.sessions.keys() {
             self.ready(key, false, cx); // What came since the poll is not to be lost by a close over it.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -12,13 +12,13 @@
 pub mod config;
 pub mod control;
 pub mod deadlines;
-pub mod ending;
 pub mod exchange;
 pub mod front;
 pub mod json;
 pub mod operator;
 pub mod packets;
 pub mod reactor;
+pub mod shutdown;
 pub mod slots;
 pub mod tables;
 use crate::fleet::gate::Gate;
@@ -32,7 +32,6 @@
 use control::xds::Feed;
 use control::{Control, Kind, View};
 use deadlines::{Deadlines, Handle, Wake};
-use ending::{Ending, Phase};
 use exchange::{AttemptRef, Exchange, Front, Heard, Order};
 use front::closing::ClosingConnections;
 use front::jsonrpc::JsonRpc;
@@ -41,6 +40,7 @@
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Waker};
 use reactor::Owner;
+use shutdown::{GracefulShutdown, Phase};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -82,7 +82,7 @@
     waker: Option<Arc<Waker>>,
     /// What the file said at the start of all that a reload does not apply.
     at_start: BTreeMap<String, OwnedValue>,
-    ending: Option<Ending>,
+    shutdown: Option<GracefulShutdown>,
     log: Vec<String>,
 }
 
@@ -104,7 +104,7 @@
         self.xds.as_ref().map(Feed::address)
     }
 
-    /// Watches a stream whose first byte asks for a planned end.
+    /// Watches a stream whose first byte asks for a graceful shutdown.
     pub fn watch_signal(&mut self, stream: &mut impl mio::event::Source) -> io::Result<()> {
         self.poll.registry().register(stream, Owner::Fixed(SIGNAL).token(), Interest::READABLE)
     }
@@ -143,23 +143,23 @@
         self.settle(heard);
     }
 
-    /// Begins a planned end: goes on accepting and answering for a while, then finishes what is open.
-    pub fn end(&mut self) {
-        if self.ending.is_none() {
+    /// Begins a graceful shutdown: goes on accepting and answering for a while, then finishes what is open.
+    pub fn begin_shutdown(&mut self) {
+        if self.shutdown.is_none() {
             let now = self.clock.now();
             let deadlines = self.exchange.settings().classes.iter().map(|c| c.deadline.as_millis());
-            let ending = Ending::new(now, deadlines.fold(0.0, f64::max));
-            self.exchange.end_by(now, ending.last_word(), &mut self.deadlines);
-            self.ending = Some(ending);
+            let shutdown = GracefulShutdown::new(now, deadlines.fold(0.0, f64::max));
+            self.exchange.shut_down_by(now, shutdown.response_deadline(), &mut self.deadlines);
+            self.shutdown = Some(shutdown);
             self.gate.iter_mut().for_each(Gate::drain);
             self.log.push(format!("ending: open={}", self.exchange.open_requests()));
-            self.deadlines.set(now, Wake::Ending);
+            self.deadlines.set(now, Wake::Shutdown);
         }
     }
 
-    /// Whether a planned end has been reached.
-    pub fn ended(&self) -> bool {
-        self.ending.as_ref().is_some_and(|ending| ending.phase() == Phase::Ended)
+    /// Whether a graceful shutdown has ended.
+    pub fn is_shut_down(&self) -> bool {
+        self.shutdown.as_ref().is_some_and(|shutdown| shutdown.phase() == Phase::Ended)
     }
 
     /// Lines for the log since the last call.
@@ -234,7 +234,7 @@
         let gateway = self.exchange.gateway();
         let with_address = |s: crate::Standing| Some((s.clone(), self.warehouses.address(&s.engine)?));
         View {
-            ending: self.ending.is_some(),
+            shutting_down: self.shutdown.is_some(),
             why_not: self.gate.as_ref().and_then(Gate::why_not),
             admitted: gateway.admitted_share(),
             engines: gateway.standings().into_iter().filter_map(with_address).collect(),
@@ -257,23 +257,23 @@
         }
     }
 
-    /// Takes a planned end further, as its machine says.
-    fn look_at_end(&mut self, now: f64, heard: &mut Vec<Heard>) {
-        let Node { poll, deadlines, log, jsonrpc, mysql, exchange, ending, closing, .. } = self;
-        let Some(ending) = ending else { return };
-        exchange.refuse_hopeless(now, deadlines);
+    /// Takes a graceful shutdown further, as its state machine says.
+    fn advance_shutdown(&mut self, now: f64, heard: &mut Vec<Heard>) {
+        let Node { poll, deadlines, log, jsonrpc, mysql, exchange, shutdown, closing, .. } = self;
+        let Some(shutdown) = shutdown else { return };
+        exchange.refuse_unfinishable(now, deadlines);
         let connections = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len()) + closing.len();
-        let todo = ending.look(now, exchange.open_requests(), connections);
+        let step = shutdown.advance(now, exchange.open_requests(), connections);
         let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard, log };
-        if todo.close_quiet {
+        if step.close_idle_clients {
             exchange.refuse_new();
             jsonrpc.close_quiet(&mut cx);
             mysql.iter_mut().for_each(|(front, _)| front.close_quiet(&mut cx));
         }
-        if let Some(again) = todo.again {
-            deadlines.set(again, Wake::Ending);
+        if let Some(next) = step.next {
+            deadlines.set(next, Wake::Shutdown);
         }
-        if todo.close_listeners {
+        if step.close_listeners {
             self.close_listeners(now, heard);
         }
     }
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -78,7 +78,7 @@
             gate_due: None,
             waker,
             at_start: config.at_start,
-            ending: None,
+            shutdown: None,
             log: config.fit,
         };
         for (front, listener) in &node.listeners {
--- a/src/node/turns.rs
+++ b/src/node/turns.rs
@@ -46,7 +46,7 @@
         let Node { poll, deadlines, log, jsonrpc, mysql, warehouses, bulletin, closing, .. } = self;
         let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard: &mut heard, log };
         match owner {
-            Owner::Fixed(SIGNAL) => self.end(),
+            Owner::Fixed(SIGNAL) => self.begin_shutdown(),
             Owner::Fixed(RELOAD) => {} // Only ends the wait.
             Owner::Fixed(LISTENER) => self.accept(Front::JsonRpc, now, sent, &mut heard),
             Owner::Fixed(_) => self.accept(Front::Mysql, now, sent, &mut heard),
@@ -86,7 +86,7 @@
             }
             Wake::Client(key) => jsonrpc.due(key, &mut cx),
             Wake::ClosingConnection(key) => closing.expired(key),
-            Wake::Ending => self.look_at_end(now, &mut heard),
+            Wake::Shutdown => self.advance_shutdown(now, &mut heard),
             Wake::MysqlBox(key) => mysql.iter_mut().for_each(|(_, boxes)| boxes.look(key, &mut cx)),
             Wake::MysqlLogin(key) => {
                 mysql.iter_mut().for_each(|(front, _)| front.login_over(key, &mut cx));
@@ -104,7 +104,7 @@
 
     pub(super) fn accept(&mut self, front: Front, now: f64, sent: f64, heard: &mut Vec<Heard>) {
         while !self.accept_paused {
-            let Node { poll, deadlines, log, jsonrpc, mysql, listeners, ending, closing, .. } = self;
+            let Node { poll, deadlines, log, jsonrpc, mysql, listeners, shutdown, closing, .. } = self;
             let Some((_, listener)) = listeners.iter().find(|(of, _)| *of == front) else { return };
             let clients = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len()) + closing.len();
             let mut cx = Cx { now, registry: poll.registry(), deadlines, closing, heard, log };
@@ -115,7 +115,7 @@
             let accepted = if full { Err(ErrorKind::QuotaExceeded.into()) } else { listener.accept() };
             match accepted {
                 Ok((stream, _)) => {
-                    ending.iter_mut().for_each(|ending| ending.accepted(now));
+                    shutdown.iter_mut().for_each(|shutdown| shutdown.accepted(now));
                     match (front, mysql) {
                         (Front::Mysql, Some((mysql, _))) => mysql.accept(stream, &mut cx),
                         _ => jsonrpc.accept(stream, sent, &mut cx),
--- a/src/run.rs
+++ b/src/run.rs
@@ -37,7 +37,7 @@
         for line in node.take_log() {
             log::line(&name, &line);
         }
-        if node.ended() {
+        if node.is_shut_down() {
             return Ok(());
         }
         node.turn(TURN).map_err(|e| format!("poll: {e}"))?;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -49,7 +49,7 @@
     assert!(get(&mut stage, "/health/ready").starts_with("HTTP/1.1 503 "));
     assert!(ask(&mut stage, Kind::Agent, "", "").starts_with("down #"));
     stage.tell_of(0, "3 0");
-    stage.node.end();
+    stage.node.begin_shutdown();
     assert_eq!(ask(&mut stage, Kind::Agent, "", ""), "drain\n");
     assert!(get(&mut stage, "/health/live").starts_with("HTTP/1.1 200 "));
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -147,14 +147,14 @@
         "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
         w expect want c1-1 *",
     );
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go("clock wait 500
         c2 send ask 1 lookup 2500 select 2 from s_1.t
         w expect want c2-1 *
         w send c2-1 served pages=1 y\\t\\t\\n
         c2 expect 1 served y\\t\\t\\n
         clock wait 600");
-    assert!(!stage.node.ended(), "one request is still open");
+    assert!(!stage.node.is_shut_down(), "one request is still open");
     stage.push(0, "c1-1", b"served pages=1 4\r\nx\t\t\n\r\n");
     stage.go("c1 expect 1 served x\\t\\t\\n
         clock wait 60
@@ -163,7 +163,7 @@
         c1 close
         c2 close
         clock wait 60");
-    assert!(stage.node.ended());
+    assert!(stage.node.is_shut_down());
 }
 
 #[test]
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -231,7 +231,7 @@
         c2 send ask 1 delivery-load@k1 25000 insert into s_1.t values (2)
         c1 wait silent",
     );
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go("w send c1-1 served pages=1 x\\t\\t\\n\nc1 expect 1 served x\\t\\t\\n\nclock wait 30
         w expect want c2-1 *\nw send c2-1 served pages=1 y\\t\\t\\n\nc2 expect 1 served y\\t\\t\\n");
 }
--- a/tests/races/shutdown.rs
+++ b/tests/races/shutdown.rs
@@ -20,7 +20,7 @@
 /// A stage with a connected client, whose shutdown has just begun.
 fn ending(warehouses: usize) -> Stage {
     let mut stage = Stage::play(warehouses, &format!("c1 send {ALIVE}\nc1 expect *pass*"));
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage
 }
 
@@ -38,7 +38,7 @@
     (2..8).for_each(|id| stage.go(&format!("c1 expect {id} error -32011 backoff")));
     assert_eq!(stage.sent_to_engines(), [""; 0], "what is read while connections close is refused");
     stage.go("clock wait 50\nc1 expect closed\nc1 close\nclock wait 50");
-    assert!(stage.node.ended());
+    assert!(stage.node.is_shut_down());
 }
 
 #[test]
@@ -62,10 +62,13 @@
     let (head, rest) = request.split_at(60);
     stage.client("c1").push(head.as_bytes());
     stage.go("clock wait 200");
-    assert!(!stage.client("c1").closed && !stage.node.ended(), "a client stands in the middle of a request");
+    assert!(
+        !stage.client("c1").closed && !stage.node.is_shut_down(),
+        "a client stands in the middle of a request"
+    );
     stage.client("c1").push(rest.as_bytes());
     stage.go("c1 expect 2 error -32011 backoff\nclock wait 50\nc1 expect closed\nc1 close\nclock wait 60");
-    assert!(stage.node.ended());
+    assert!(stage.node.is_shut_down());
 }
 
 #[test]
@@ -74,7 +77,7 @@
     stage.go("clock wait 3000");
     stage.client("c1").push(b"Content-Length: 500\r\n\r\n{");
     stage.go("clock wait 690");
-    assert!(stage.node.ended(), "the kill comes at 3700 ms");
+    assert!(stage.node.is_shut_down(), "the kill comes at 3700 ms");
 }
 
 #[test]
@@ -84,7 +87,7 @@
         "c1 send ask 1 delivery-load 25000 insert into s_1.t values (1)
         w expect want c1-1 *",
     );
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go("clock wait 850
         w expect there *
         c1 send ask 2 lookup 2500 select 2 from s_1.t
@@ -107,7 +110,7 @@
     (0..5).for_each(|_| stage.turn());
     stage.go("late send ask 1 lookup 2500 select 1 from s_1.t");
     stage.one_turn();
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go("c0 close");
     stage.clock.set(stage.clock.now() + 850.0);
     stage.one_turn();
@@ -118,7 +121,7 @@
 fn answers_that_the_system_has_not_taken_are_written_before_the_close() {
     let mut stage = Stage::play(1, &format!("c1 send {ALIVE}\nc1 expect *pass*"));
     let asked = stage.fill_with_results("c1", 2);
-    stage.node.end();
+    stage.node.begin_shutdown();
     // The client reads nothing until connections close.
     stage.pass_node(900.0);
     for _ in 0..asked {
@@ -131,16 +134,16 @@
 fn a_second_signal_changes_nothing() {
     let mut stage = ending(1);
     stage.go("clock wait 500");
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go("clock wait 350\nc1 expect closed\nc1 close\nclock wait 50");
-    assert!(stage.node.ended(), "the windows count from the first");
+    assert!(stage.node.is_shut_down(), "the windows count from the first");
 }
 
 #[test]
 fn a_connection_accepted_before_the_signal_and_silent_until_after_it_is_served() {
     let mut stage = Stage::play(1, "c1 send raw C");
     stage.one_turn();
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.one_turn();
     let request = lookup(2, "select 1 from s_1.t");
     stage.client("c1").push(&request.as_bytes()[1..]);
@@ -152,7 +155,7 @@
     let mut stage = Stage::with(2, r#""listen":"127.0.0.1:0","#, LIMITS, SETTINGS);
     let name = rid("c1-1");
     let params = format!(r#"{{"rid":"{name}","budget":25000,"est":1800,"memory":8,"doc":"c2VsZWN0IDE="}}"#);
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go("clock wait 550");
     stage.go(&format!(r#"c1 send {{"jsonrpc":"2.0","id":1,"method":"delivery-load","params":{params}}}"#));
     stage.go("w expect want c1-1 *");
--- a/tests/ending.rs
+++ b/tests/shutdown.rs
@@ -1,8 +1,10 @@
-//! A planned end on sockets: what comes in its windows is served, and nothing is left without an answer at the kill.
+//! A graceful shutdown, as a state machine and on sockets: what comes in its windows is served, and nothing is left
+//! without an answer at the kill.
 
 #[path = "common/stage.rs"]
 mod stage;
 
+use beamgap::node::shutdown::{GracefulShutdown, Phase};
 use stage::{Stage, LIMITS, SETTINGS};
 
 #[test]
@@ -15,13 +17,13 @@
         clock wait 1000
         w expect there *",
     );
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go("clock wait 600
         c1 wait silent
         c1 send ask 2 lookup 2500 select 1 from s_2.t
         w expect want c1-2 *
         clock wait 400");
-    assert!(!stage.node.ended(), "two requests are open");
+    assert!(!stage.node.is_shut_down(), "two requests are open");
     let mut told = Vec::new();
     stage.expect("both answers", |stage| {
         stage.clock.set(stage.clock.now() + 10.0);
@@ -38,7 +40,7 @@
     assert!(stage.clock.now() - stage::START - 1000.0 <= 3600.0, "before the kill");
     stage.expect("the end", |stage| {
         stage.clock.set(stage.clock.now() + 10.0);
-        stage.node.ended()
+        stage.node.is_shut_down()
     });
 }
 
@@ -55,20 +57,20 @@
         )
     };
     stage.go(&format!("{}\n{}\nc1 wait silent", ask(1, 20_000), ask(2, 100)));
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go(
         "c1 expect 1 error -32011 backoff\nc1 wait silent\nclock wait 3520\nc1 expect 2 error -32011 backoff",
     );
     // The client keeps its connection open: that does not hold the program until the kill at 3700 ms.
     stage.go("clock wait 120");
-    assert!(stage.node.ended());
+    assert!(stage.node.is_shut_down());
 }
 
 #[test]
 fn a_connection_that_comes_in_the_window_is_served_and_a_quiet_one_is_closed_after_it() {
     let mut stage =
         Stage::play(1, "c1 send {\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"alive\"}\nc1 expect *pass*");
-    stage.node.end();
+    stage.node.begin_shutdown();
     stage.go("clock wait 380
         c2 send ask 1 lookup 2500 select 1 from s_2.t
         w expect want c2-1 *
@@ -80,9 +82,53 @@
         w send c1-2 served pages=1 x\\t\\t\\n
         c1 expect 2 served x\\t\\t\\n
         clock wait 100");
-    assert!(!stage.node.ended(), "requests may still come");
+    assert!(!stage.node.is_shut_down(), "requests may still come");
     stage.go("clock wait 120\nc1 expect closed\nc2 expect closed");
-    assert!(!stage.node.ended(), "the clients have not closed yet");
+    assert!(!stage.node.is_shut_down(), "the clients have not closed yet");
     stage.go("c1 close\nc2 close\nclock wait 60");
-    assert!(stage.node.ended());
+    assert!(stage.node.is_shut_down());
+}
+
+const STEP_MS: f64 = 50.0;
+
+/// Plays an end with new connections at these moments and so much open until then; the phases with their times.
+fn play(connects: &[f64], open_until: f64) -> (Vec<(f64, Phase)>, usize) {
+    let (mut shutdown, mut now, mut seen, mut closes) =
+        (GracefulShutdown::new(0.0, 25_000.0), 0.0, Vec::new(), 0);
+    while shutdown.phase() != Phase::Ended {
+        now += STEP_MS;
+        assert!(now < 5000.0, "it never ends: {seen:?}");
+        connects.iter().filter(|at| (now - STEP_MS..now).contains(*at)).for_each(|at| shutdown.accepted(*at));
+        let step = shutdown.advance(now, usize::from(now < open_until), 0);
+        closes += usize::from(step.close_listeners);
+        assert_eq!(step.next.is_none(), shutdown.phase() == Phase::Ended);
+        if seen.last().is_none_or(|(_, phase)| *phase != shutdown.phase()) {
+            seen.push((now, shutdown.phase()));
+        }
+    }
+    (seen, closes)
+}
+
+#[test]
+fn it_accepts_through_the_window_serves_what_is_open_and_ends_when_nothing_is_owed() {
+    use Phase::*;
+    let (seen, closes) = play(&[100.0, 380.0], 0.0);
+    assert_eq!(seen, [(50.0, Accepting), (600.0, Serving), (800.0, Ended)]);
+    assert_eq!(closes, 1);
+    let (seen, _) = play(&[], 2000.0);
+    assert_eq!(seen, [(50.0, Accepting), (600.0, Serving), (800.0, Closing), (2000.0, Ended)]);
+}
+
+#[test]
+fn connections_without_end_do_not_hold_the_listeners_open() {
+    let all: Vec<f64> = (0..100).map(|i| f64::from(i) * 10.0).collect();
+    let (seen, closes) = play(&all, 0.0);
+    assert_eq!((seen.last(), closes), (Some(&(800.0, Phase::Ended)), 1));
+}
+
+#[test]
+fn the_response_deadline_comes_before_the_kill_whatever_the_deadlines() {
+    for (longest, last) in [(100_000.0, 3500.0), (3000.0, 3500.0), (1000.0, 1500.0), (10.0, 800.0)] {
+        assert_eq!(GracefulShutdown::new(0.0, longest).response_deadline(), last);
+    }
 }
