--- a/crates/xds/src/core/mod.rs
+++ b/crates/xds/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod allot;
 pub mod loads;
+pub mod messages;
 pub mod picture;
 pub mod plane;
 pub mod resources;
--- a/crates/xds/src/core/plane.rs
+++ b/crates/xds/src/core/plane.rs
@@ -4,13 +4,16 @@
 //! when the proxy has accepted both does its route name it. Backwards, the route goes first, and the cluster once
 //! the route without it is accepted. Listeners only name the route configuration and hardly change.
 
+mod proxy;
+mod status;
+
 use super::allot::{bound, Holder, Leases, Shares};
 use super::loads::Loads;
 use super::picture::{Engine, EngineName, Health, Picture, Terms};
 use super::resources::{self, Kind, Resource, Set};
 use super::stream::{Ask, Meant, Response, Stream, StreamError, Sub, Variant};
 use super::tombs::Tombs;
-use serde_json::{json, Map, Value};
+use proxy::tell_leases;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -382,141 +385,4 @@
     pub fn leases(&self) -> &Leases {
         &self.leases
     }
-
-    /// Who is connected and what they hold, as JSON.
-    pub fn status(&self, now: f64) -> String {
-        let clients: Vec<Value> =
-            self.proxies.iter().map(|(holder, proxy)| self.client(now, *holder, proxy)).collect();
-        let leased: Map<String, Value> =
-            self.warming.keys().map(|engine| (engine.to_string(), self.leases.held(engine).into())).collect();
-        let (engines, streams) = (self.shown.engines.len(), self.proxies.len());
-        json!({ "engines": engines, "streams": streams, "leased": leased, "clients": clients }).to_string()
-    }
-
-    fn client(&self, now: f64, holder: Holder, proxy: &Proxy) -> Value {
-        let age = |at: f64| (now - at).round();
-        let of = |(kind, sub): (Kind, &Sub)| {
-            let nack = sub.nacked.as_ref().map(|nack| json!({ "age_ms": age(nack.at), "error": nack.error }));
-            let told = json!({
-                "version": sub.version,
-                "resources": sub.good().len(),
-                "waiting": sub.waiting(),
-                "ack_age_ms": sub.acked.map(age),
-                "nacks": sub.nacks,
-                "last_nack": nack,
-            });
-            (kind.short().to_owned(), told)
-        };
-        let leases = proxy.clusters.values().filter_map(|r| r.lease.as_ref());
-        let leases: Map<String, Value> =
-            leases.map(|(engine, most)| (engine.to_string(), (*most).into())).collect();
-        json!({
-            "stream": holder,
-            "node": proxy.node,
-            "peer": proxy.peer,
-            "variant": if proxy.stream.variant == Variant::Delta { "delta" } else { "sotw" },
-            "age_ms": age(proxy.since),
-            "share": (self.shares.share(holder) * 1000.0).round() / 1000.0,
-            "in_progress": (self.loads.in_progress(&proxy.node) * 10.0).round() / 10.0,
-            "leases": leases,
-            "types": proxy.stream.subs().map(of).collect::<Map<String, Value>>(),
-        })
-    }
-}
-
-/// Books the leases that a response of clusters tells or takes back.
-fn tell_leases(leases: &mut Leases, holder: Holder, response: &Response, proxy: &Proxy) {
-    let Some(sub) = proxy.stream.sub(Kind::Cds) else { return };
-    for (engine, most) in sub.told().values().filter_map(|r| r.lease.as_ref()) {
-        leases.told(engine, holder, response.nonce, *most);
-    }
-    // Whatever is not in the set that the proxy holds after this push is taken back by it.
-    let held: BTreeSet<&EngineName> =
-        sub.told().values().filter_map(|r| r.lease.as_ref()).map(|(e, _)| e).collect();
-    let before: BTreeSet<EngineName> =
-        sub.in_force().filter_map(|r| r.lease.as_ref()).map(|(e, _)| e.clone()).collect();
-    for engine in before.iter().filter(|engine| !held.contains(engine)) {
-        leases.told(engine, holder, response.nonce, 0);
-    }
-}
-
-impl Proxy {
-    /// Takes a part in the shares, and what this proxy held by a stream that has ended; unless its name is in use.
-    fn join(&mut self, now: f64, holder: Holder, shares: &mut Shares, leases: &mut Leases) {
-        let (before, taken) = shares.joined(now, holder, &self.node);
-        self.leases = !taken;
-        if let Some(before) = before {
-            // It goes on with what it held, so that nothing is taken from it that its route still names.
-            self.wanted.extend(leases.adopt(before, holder));
-        }
-    }
-
-    fn clusters(&self, main: &Arc<Resource>) -> Set {
-        let own = self.clusters.values().map(|r| (r.name.clone(), r.clone()));
-        own.chain([(main.name.clone(), main.clone())]).collect()
-    }
-
-    fn endpoints(
-        &mut self,
-        terms: &Terms,
-        shown: &Picture,
-        edition: u64,
-        tombs: &Tombs,
-        main: &Arc<Resource>,
-        warming: &BTreeMap<EngineName, Arc<Resource>>,
-    ) -> Set {
-        let foreign = self.tombs.names().any(|name| !tombs.holds(name));
-        let list = if foreign {
-            if self.endpoints.as_ref().is_none_or(|(of, _)| *of != edition) {
-                let own = resources::endpoints(terms, shown, None, tombs, &self.tombs);
-                self.endpoints = Some((edition, Arc::new(own)));
-            }
-            self.endpoints.as_ref().map_or(main, |(_, own)| own)
-        } else {
-            self.endpoints = None;
-            main
-        };
-        let mut set = Set::from([(list.name.clone(), list.clone())]);
-        for engine in self.clusters.keys() {
-            // An engine that is no more is told as an empty list: state of the world can't take one back.
-            let list = match warming.get(engine).filter(|_| !self.tombs.holds(engine)) {
-                Some(list) => list.clone(),
-                None => Arc::new(resources::endpoints(terms, shown, Some(engine), tombs, &self.tombs)),
-            };
-            set.insert(list.name.clone(), list);
-        }
-        set
-    }
-
-    fn routes(
-        &mut self,
-        terms: &Terms,
-        shown: &Picture,
-        warming: &BTreeMap<EngineName, Arc<Resource>>,
-        load: f64,
-    ) -> Set {
-        let warm = resources::warm_weight(shown, &self.tombs);
-        let ready = |r: &Resource, kind: Kind| {
-            self.stream.sub(kind).is_some_and(|sub| sub.good().contains_key(&r.name))
-        };
-        let mut parts = Vec::new();
-        for (engine, cluster) in &self.clusters {
-            let Some((_, most)) = &cluster.lease else { continue };
-            let usable =
-                shown.engine(engine).filter(|e| e.health == Health::Usable && warming.contains_key(engine));
-            let Some(engine) =
-                usable.filter(|e| self.wanted.contains_key(&e.name) && !self.tombs.holds(&e.name))
-            else {
-                continue;
-            };
-            if ready(cluster, Kind::Cds) && ready(cluster, Kind::Eds) {
-                parts.push((engine.name.clone(), resources::warming_weight(engine.cores, *most, warm, load)));
-            }
-        }
-        let fresh = resources::routes(terms, warm, &parts);
-        if self.routes.as_ref().is_none_or(|routes| **routes != fresh) {
-            self.routes = Some(Arc::new(fresh));
-        }
-        self.routes.iter().map(|r| (r.name.clone(), r.clone())).collect()
-    }
 }
