Shutdown: with very short deadlines it does not end as closing begins

Cause: the end was reckoned from the kill (100 ms before it), but closing begins 800 ms after the signal; with deadlines under 0.3 s the first step of closing was the last, with requests and connections open (shutdown.rs, advance).

Change: the end is 100 ms after the response deadline, which is the same wherever deadlines are 0.3 s or more.

--- a/src/node/exchange/mod.rs
+++ b/src/node/exchange/mod.rs
@@ -280,7 +280,7 @@
         if let Some(answer) = ended.answer {
             self.answer(key, answer);
         } else if self.open.get(key).is_some_and(|open| open.is_spent() || self.is_unfinishable(now, open)) {
-            // Its policy allows no further attempt, or none could end before a graceful shutdown: it hears so at once.
+            // Its policy allows no further attempt, or none could end before the response deadline of a shutdown.
             let answer = self.given_up(key, BACKOFF);
             self.answer(key, answer);
             closed.request_over = true;
--- a/src/node/exchange/shutdown.rs
+++ b/src/node/exchange/shutdown.rs
@@ -19,8 +19,8 @@
         self.lingering.retain(|(until, _)| now < *until);
     }
 
-    /// A graceful shutdown has begun: what is still owed at `response_deadline` is answered then, and what can't end before is refused
-    /// at once where it was never sent.
+    /// A graceful shutdown has begun: what is still owed at `response_deadline` is answered then, and what can't end
+    /// before is refused at once where it was never sent.
     pub fn shut_down_by(&mut self, now: f64, response_deadline: f64, deadlines: &mut Deadlines) {
         self.response_deadline = response_deadline;
         for key in self.open.keys() {
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -11,7 +11,7 @@
 const KILL_MS: f64 = 700.0; // after that, until the kill
 const RESPONSE_MARGIN_MS: f64 = 200.0; // before the kill: what is owed then is answered, so that the client reads it
 const STEP_MS: f64 = 50.0; // between steps
-const END_MARGIN_MS: f64 = 100.0; // before the kill: it ends by then, whoever has not read what was written
+const END_MARGIN_MS: f64 = 100.0; // after the response deadline it ends, whoever has not read what was written
 
 /// How far a shutdown has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,7 +71,7 @@
     /// Takes it further: requests that are open, and client connections that are not closed yet.
     pub fn advance(&mut self, now: f64, open: usize, connections: usize) -> ShutdownStep {
         let since = now - self.signalled;
-        let last = self.kill - END_MARGIN_MS;
+        let last = self.response_deadline() + END_MARGIN_MS;
         let next = if now < last { (now + STEP_MS).min(last) } else { now + STEP_MS };
         let mut step = ShutdownStep { close_listeners: false, close_idle_clients: false, next: Some(next) };
         let quiet = now - self.newest >= QUIET_MS;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -132,3 +132,21 @@
         assert_eq!(GracefulShutdown::new(0.0, longest).response_deadline(), last);
     }
 }
+
+#[test]
+fn however_short_the_deadlines_it_does_not_end_in_the_step_in_which_closing_begins() {
+    for longest in [10.0, 100.0, 200.0, 300.0, 3000.0] {
+        let mut shutdown = GracefulShutdown::new(0.0, longest);
+        let (mut now, mut closing_since) = (0.0, None);
+        // One request and one connection stay open: it ends in time all the same, but first lets clients read.
+        while shutdown.phase() != Phase::Ended {
+            now = shutdown.advance(now, 1, 1).next.unwrap_or(now);
+            if shutdown.phase() == Phase::Closing {
+                closing_since.get_or_insert(now);
+            }
+            assert!(now < 5000.0, "it never ends");
+        }
+        assert!(closing_since.is_some(), "deadlines of {longest} ms: nothing was closed before its end");
+        assert!(now >= shutdown.response_deadline(), "deadlines of {longest} ms: it ended at {now} ms");
+    }
+}
