Race tests: the opening that six of them share has one home

Cause: the same four steps stood six times in engines.rs and clients.rs.

Change: Stage::served_once.

--- a/tests/common/stage.rs
+++ b/tests/common/stage.rs
@@ -202,6 +202,17 @@
         peer.push(format!("Content-Length: {}\r\n\r\n{message}", message.len()).as_bytes());
     }
 
+    /// One engine that has served request 1 of `c1`, so that a connection to it is idle.
+    pub fn served_once() -> Stage {
+        Stage::play(
+            1,
+            "c1 send ask 1 lookup 2500 select 1 from s_1.t
+            w expect want c1-1 *
+            w send c1-1 served pages=1 x\\t\\t\\n
+            c1 expect 1 served x\\t\\t\\n",
+        )
+    }
+
     /// A client's side of its connection.
     pub fn client(&mut self, name: &str) -> &mut Peer {
         self.clients.get_mut(name).expect("a client that has sent")
--- a/tests/races/clients.rs
+++ b/tests/races/clients.rs
@@ -21,17 +21,6 @@
     stage.client(client).stream.shutdown(Shutdown::Write).unwrap();
 }
 
-/// A stage with an idle connection to its engine, on which a request would be written at once.
-fn with_idle_connection() -> Stage {
-    Stage::play(
-        1,
-        "c0 send ask 1 lookup 2500 select 1 from s_1.t
-        w expect want c0-1 *
-        w send c0-1 served pages=1 x\\t\\t\\n
-        c0 expect 1 served x\\t\\t\\n",
-    )
-}
-
 /// What engines were sent so far; the node does nothing meanwhile.
 fn lines(stage: &mut Stage) -> Vec<String> {
     let peers = stage.houses.iter_mut().flat_map(|house| &mut house.conns);
@@ -44,9 +33,9 @@
 
 #[test]
 fn a_request_whose_client_closes_in_the_same_read_is_not_begun() {
-    let mut stage = with_idle_connection();
-    stage.go("c1 send ask 1 lookup 2500 select 1 from s_1.t");
-    leave(&mut stage, "c1");
+    let mut stage = Stage::served_once();
+    stage.go("c2 send ask 1 lookup 2500 select 1 from s_1.t");
+    leave(&mut stage, "c2");
     (0..3).for_each(|_| stage.one_turn());
     assert_eq!(lines(&mut stage), [""; 0]);
     assert_eq!(stage.node.open_requests(), 0);
@@ -54,12 +43,12 @@
 
 #[test]
 fn a_request_that_is_cancelled_in_the_same_read_is_not_begun() {
-    let mut stage = with_idle_connection();
-    stage.go("c1 send ask 1 lookup 2500 select 1 from s_1.t\nc1 send cancel 1");
+    let mut stage = Stage::served_once();
+    stage.go("c2 send ask 1 lookup 2500 select 1 from s_1.t\nc2 send cancel 1");
     (0..3).for_each(|_| stage.one_turn());
     assert_eq!(lines(&mut stage), [""; 0]);
     assert_eq!(stage.node.open_requests(), 0);
-    stage.go("c1 wait silent");
+    stage.go("c2 wait silent");
 }
 
 #[test]
--- a/tests/races/engines.rs
+++ b/tests/races/engines.rs
@@ -32,13 +32,7 @@
 #[test]
 fn an_idle_connection_that_closes_as_a_request_comes_costs_the_request_nothing() {
     for close in [reset as fn(Peer), |peer| drop(peer)] {
-        let mut stage = Stage::play(
-            1,
-            "c1 send ask 1 lookup 2500 select 1 from s_1.t
-            w expect want c1-1 *
-            w send c1-1 served pages=1 x\\t\\t\\n
-            c1 expect 1 served x\\t\\t\\n",
-        );
+        let mut stage = Stage::served_once();
         // Both stand in the system when the node looks.
         stage.go("c1 send ask 2 lookup 2500 select 2 from s_1.t");
         close(stage.houses[0].conns.remove(0));
@@ -72,14 +66,8 @@
 
 #[test]
 fn a_reset_long_after_the_last_answer_costs_nobody_anything() {
-    let mut stage = Stage::play(
-        1,
-        "c1 send ask 1 lookup 2500 select 1 from s_1.t
-        w expect want c1-1 *
-        w send c1-1 served pages=1 x\\t\\t\\n
-        c1 expect 1 served x\\t\\t\\n
-        clock wait 3000",
-    );
+    let mut stage = Stage::served_once();
+    stage.go("clock wait 3000");
     reset(stage.houses[0].conns.remove(0));
     stage.go("clock wait 100
         c1 wait silent
@@ -91,13 +79,7 @@
 
 #[test]
 fn half_a_line_as_the_node_closes_an_idle_connection_harms_nothing() {
-    let mut stage = Stage::play(
-        1,
-        "c1 send ask 1 lookup 2500 select 1 from s_1.t
-        w expect want c1-1 *
-        w send c1-1 served pages=1 x\\t\\t\\n
-        c1 expect 1 served x\\t\\t\\n",
-    );
+    let mut stage = Stage::served_once();
     // It has been idle for as long as the node keeps one when half a line comes.
     stage.houses[0].conns[0].push(b"0123456789abcdef upd");
     stage.clock.set(stage.clock.now() + 9100.0);
@@ -111,13 +93,7 @@
 
 #[test]
 fn a_name_is_run_once_on_any_connection_and_again_only_long_after() {
-    let mut stage = Stage::play(
-        1,
-        "c1 send ask 1 lookup 2500 select 1 from s_1.t
-        w expect want c1-1 *
-        w send c1-1 served pages=1 x\\t\\t\\n
-        c1 expect 1 served x\\t\\t\\n",
-    );
+    let mut stage = Stage::served_once();
     let again = |id: usize| {
         let params = format!(r#"{{"rid":"{}","budget":2500,"doc":"c2VsZWN0IDE="}}"#, rid("c1-1"));
         format!(r#"{{"jsonrpc":"2.0","id":{id},"method":"lookup","params":{params}}}"#)
