--- a/review/standins/stalled_message.rs
+++ b/review/standins/stalled_message.rs
@@ -7,7 +7,7 @@
 use common::*;
 
 /// Time for which the connection is quiet, in milliseconds.
-const QUIET_MS: u64 = 3_000;
+const QUIET_MS: u64 = 2_500;
 /// Time for which each report runs at its engine, in milliseconds.
 const WORK_MS: u64 = 4_500;
 const BUDGET_MS: u64 = 15_000;
