--- a/review/standins/common/front_end.rs
+++ b/review/standins/common/front_end.rs
@@ -16,6 +16,15 @@
     /// Starts the front end with this configuration. `{LISTEN}` in the text stands for its address.
     /// Fails if the front end does not accept connections, of `mysql` if that is given, within 10 s.
     pub fn start(config: &str, mysql: Option<SocketAddr>) -> Result<FrontEnd, String> {
+        FrontEnd::start_with(config, mysql, None)
+    }
+
+    /// Like `start`, with an operator's file.
+    pub fn start_with(
+        config: &str,
+        mysql: Option<SocketAddr>,
+        operator: Option<&str>,
+    ) -> Result<FrontEnd, String> {
         let folder = std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), rid()));
         std::fs::create_dir_all(&folder).unwrap();
         let listen: SocketAddr = format!("127.0.0.1:{}", free_port()).parse().unwrap();
@@ -24,7 +33,11 @@
         let run = std::env::var("RUN_COMMAND").expect("run.sh passes the deploy file's run command");
         let root = std::env::var("PROJECT_ROOT").expect("run.sh passes the project's folder");
         let log = File::create(std::env::var("FRONT_END_LOG").unwrap_or("/dev/null".into())).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        if let Some(operator) = operator {
+            command.env("BEAMGAP_OPERATOR", operator);
+        }
+        let child = command
             .args(["-c", &run])
             .current_dir(root)
             .env("NODE_NAME", "n1")
@@ -47,8 +60,8 @@
 
     pub fn signal(&self, name: &str) {
         record(&format!("front end: SIG{name} sent"));
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        let kill = format!("kill -s {name} {}", self.child.id());
+        let _ = Command::new("/bin/sh").args(["-c", &kill]).status();
     }
 
     /// The exit status, if the process has ended.
--- a/review/standins/common/mod.rs
+++ b/review/standins/common/mod.rs
@@ -4,12 +4,14 @@
 
 mod client;
 mod engine;
+mod fleet;
 mod front_end;
 mod list;
 mod mysql;
 
 pub use client::*;
 pub use engine::*;
+pub use fleet::*;
 pub use front_end::*;
 pub use list::*;
 pub use mysql::*;
@@ -39,6 +41,10 @@
     let _ = file.lock().unwrap().write_all(line.as_bytes());
 }
 
+pub fn since_start_ms() -> u128 {
+    RECORD.get().map_or(0, |(_, start)| start.elapsed().as_millis())
+}
+
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
