--- a/src/node/dispatcher/mod.rs
+++ b/src/node/dispatcher/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The dispatcher guarantees that each request gets one final response and has at most one attempt in flight.
 
+mod arrival;
 mod decisions;
 pub mod message;
 pub mod recent_names;
@@ -144,11 +145,6 @@
         self.zones = Some(HashMap::new());
     }
 
-    /// Rejects a request before it is accepted, so that nothing of it has run.
-    pub fn reject(&mut self, client: ClientHandle, backoff_ms: f64) {
-        self.commands.push(DispatcherCommand::Respond(client, FinalResponse::Rejected { backoff_ms }));
-    }
-
     /// Number of requests that are owed a response or have an attempt in flight.
     pub fn open_requests(&self) -> usize {
         self.open.len()
@@ -237,75 +233,6 @@
         self.remove_if_done(key, timers);
     }
 
-    /// Opens a request and passes it to the decision module. A request beyond the limits on open requests and payload
-    /// bytes is rejected, and so is a request with the name of a recent one.
-    fn accept_request(&mut self, now: f64, client_request: ClientRequest, timers: &mut TimerQueue) {
-        let id = RequestId(client_request.name.clone());
-        let size = client_request.payload.size();
-        let is_full = self.rejects_new
-            || self.open.len() >= self.max_open
-            || self.payload_bytes + size > self.max_payload_bytes;
-        let is_open = self.by_name.contains_key(&id) || self.by_client.contains_key(&client_request.client);
-        let is_repeated = !self.recent_names.insert(now, &client_request.name) || is_open;
-        if is_full || is_repeated {
-            // Nothing runs for this request, but an earlier request with the same name may have run.
-            let backoff_ms = self.settings.retry_after.map_or(DEFAULT_BACKOFF_MS, from_micros);
-            let is_unsafe_to_repeat = self.settings.classes[client_request.class.0].repeat == Repeat::Unsafe;
-            let response = if is_unsafe_to_repeat && is_repeated {
-                FinalResponse::Failed
-            } else {
-                FinalResponse::Rejected { backoff_ms }
-            };
-            self.commands.push(DispatcherCommand::Respond(client_request.client, response));
-            return;
-        }
-        self.payload_bytes += size;
-        let deadline = client_request.deadline(LATE_RESPONSE_GRACE_MS);
-        let request = Request {
-            id: id.clone(),
-            class: client_request.class,
-            time_left: to_micros(deadline.min(self.response_deadline) - now),
-            table_group: client_request.table_group,
-            work_hint: client_request.work_ms.filter(|ms| *ms > 0.0).map(to_micros),
-            memory_hint_mb: client_request.memory_mb.filter(|mb| *mb > 0.0),
-            key: client_request.ordering_key.clone(),
-            tenant: client_request.tenant.clone(),
-            repeat: false,
-        };
-        let client = client_request.client;
-        let key = self.open.insert(OpenRequest {
-            client: Some(client),
-            request: client_request,
-            deadline,
-            deadline_timer: None,
-            attempts: 0,
-            attempts_sent: 0,
-            outstanding: None,
-            memory_mb: 0,
-            priority: 1,
-            may_have_run: false,
-            arrived_at: now,
-            may_still_run: false,
-        });
-        if let Some(open) = self.open.get_mut(key) {
-            let deadline_at = (deadline + RESPONSE_GRACE_MS).min(self.response_deadline.max(now));
-            open.deadline_timer = Some(timers.set(deadline_at, TimerEvent::RequestDeadline(key)));
-        }
-        if let Some(open) = self.open.get(key) {
-            let (class, budget) = (open.request.class.0, open.request.budget_ms);
-            let order = open.request.ordering_key.as_deref().unwrap_or("-");
-            let waited = open.request.waited_at_client;
-            trace!(
-                target: ACCOUNT,
-                "ask: id={} class={class} budget={budget:.0} waited_at_client={waited:.0} order={order}",
-                id.0
-            );
-        }
-        self.by_name.insert(id, key);
-        self.by_client.insert(client, key);
-        self.decide(now, Event::RequestArrived(request), timers);
-    }
-
     /// Handles the end of an attempt: responds to the client if the attempt had a response or no further attempt is
     /// possible, and otherwise leaves the next step to the decision module.
     fn finish_attempt(&mut self, now: f64, finished: FinishedAttempt, timers: &mut TimerQueue) {
