Dispatcher: reject a request that may have run only if a repeat is harmless

Cause: the request dispatcher had a rule of its own for a rejection and asked only whether the class is Repeat::Unsafe, where the decision module asks Repeat::may_be_rejected. It stood in unserved_response (shutdown, failed attempt, refused retry) and in accept_request (repeated name); a request refused by the fleet's policy was rejected without a look for an earlier one with its name.

Change: one function, response_without_result, words every response of the dispatcher without a result, by Repeat::may_be_rejected.

--- a/src/node/dispatcher/arrival.rs
+++ b/src/node/dispatcher/arrival.rs
@@ -4,31 +4,43 @@
 
 impl RequestDispatcher {
     /// Rejects a request before it is accepted, so that nothing of it has run.
-    pub fn reject(&mut self, client: ClientHandle, backoff_ms: f64) {
-        self.commands.push(DispatcherCommand::Respond(client, FinalResponse::Rejected { backoff_ms }));
+    pub fn reject(&mut self, now: f64, request: &ClientRequest, backoff_ms: f64) {
+        let is_repeated = self.is_repeated(now, request);
+        self.respond_unaccepted(request, is_repeated, backoff_ms);
+    }
+
+    /// Whether a request has the name of a recent or open request, or the client handle of an open one.
+    fn is_repeated(&mut self, now: f64, request: &ClientRequest) -> bool {
+        let is_open = self.by_name.contains_key(&RequestId(request.name.clone()))
+            || self.by_client.contains_key(&request.client);
+        is_open || self.recent_names.contains(now, &request.name)
+    }
+
+    /// Sends the final response to a request that is not accepted. Nothing runs for it, but if it repeats an earlier
+    /// request, that one may have run.
+    fn respond_unaccepted(&mut self, request: &ClientRequest, is_repeated: bool, backoff_ms: f64) {
+        let response = self.response_without_result(request.class, is_repeated, backoff_ms);
+        self.commands.push(DispatcherCommand::Respond(request.client, response));
     }
 
     /// Opens a request and passes it to the decision module. A request beyond the limits on open requests and payload
     /// bytes is rejected, and so is a request with the name of a recent one.
-    pub(super) fn accept_request(&mut self, now: f64, client_request: ClientRequest, timers: &mut TimerQueue) {
+    pub(super) fn accept_request(
+        &mut self,
+        now: f64,
+        client_request: ClientRequest,
+        timers: &mut TimerQueue,
+    ) {
         let id = RequestId(client_request.name.clone());
         let size = client_request.payload.size();
         let is_full = self.rejects_new
             || self.open.len() >= self.max_open
             || self.payload_bytes + size > self.max_payload_bytes;
-        let is_open = self.by_name.contains_key(&id) || self.by_client.contains_key(&client_request.client);
-        let is_repeated = !self.recent_names.insert(now, &client_request.name) || is_open;
+        let is_repeated = self.is_repeated(now, &client_request);
+        self.recent_names.insert(now, &client_request.name);
         if is_full || is_repeated {
-            // Nothing runs for this request, but an earlier request with the same name may have run.
             let backoff_ms = self.settings.retry_after.map_or(DEFAULT_BACKOFF_MS, from_micros);
-            let is_unsafe_to_repeat = self.settings.classes[client_request.class.0].repeat == Repeat::Unsafe;
-            let response = if is_unsafe_to_repeat && is_repeated {
-                FinalResponse::Failed
-            } else {
-                FinalResponse::Rejected { backoff_ms }
-            };
-            self.commands.push(DispatcherCommand::Respond(client_request.client, response));
-            return;
+            return self.respond_unaccepted(&client_request, is_repeated, backoff_ms);
         }
         self.payload_bytes += size;
         let deadline = client_request.deadline(LATE_RESPONSE_GRACE_MS);
--- a/src/node/dispatcher/decisions.rs
+++ b/src/node/dispatcher/decisions.rs
@@ -18,14 +18,22 @@
         }
     }
 
-    /// The final response to a request that gets no result. A request of a class that is unsafe to repeat gets
-    /// `Failed` if an attempt may have run: `Rejected` would invite its client to send the same load again.
+    /// The final response to an open request that gets no result.
     pub(super) fn unserved_response(&self, key: SlotKey, backoff_ms: f64) -> FinalResponse {
-        let may_have_run = self.open.get(key).is_some_and(|open| {
-            let is_unsafe_class = self.settings.classes[open.request.class.0].repeat == Repeat::Unsafe;
-            is_unsafe_class && (open.may_have_run || open.outstanding.is_some())
-        });
-        if may_have_run {
+        let Some(open) = self.open.get(key) else { return FinalResponse::Failed };
+        let may_have_run = open.may_have_run || open.outstanding.is_some();
+        self.response_without_result(open.request.class, may_have_run, backoff_ms)
+    }
+
+    /// The final response to a request of this class that gets no result. `Rejected` invites the client to send the
+    /// request again, so it is given only if nothing has run or the class makes another run harmless.
+    pub(super) fn response_without_result(
+        &self,
+        class: ClassId,
+        may_have_run: bool,
+        backoff_ms: f64,
+    ) -> FinalResponse {
+        if may_have_run && !self.settings.classes[class.0].repeat.may_be_rejected() {
             FinalResponse::Failed
         } else {
             FinalResponse::Rejected { backoff_ms }
--- a/src/node/dispatcher/mod.rs
+++ b/src/node/dispatcher/mod.rs
@@ -16,8 +16,8 @@
 use crate::fleet::budgets::HeldUnits;
 use crate::{
     Action, Attempt, AttemptEnd, ClassId, EngineEntry, EngineId, EngineState, Event, Gateway, ListKind,
-    LoadReport, Micros, Outcome, Progress, Repeat, Request, RequestId, Settings, SettingsError,
-    SlowStartShare, TimerId, TrueCost,
+    LoadReport, Micros, Outcome, Progress, Request, RequestId, Settings, SettingsError, SlowStartShare,
+    TimerId, TrueCost,
 };
 pub use message::*;
 use recent_names::RecentNames;
--- a/src/node/dispatcher/recent_names.rs
+++ b/src/node/dispatcher/recent_names.rs
@@ -43,6 +43,12 @@
         is_new
     }
 
+    /// Whether a name was recorded within the retention time before `now`, in milliseconds.
+    pub fn contains(&mut self, now: f64, name: &Arc<str>) -> bool {
+        self.drop_old(now);
+        self.names.contains(name)
+    }
+
     /// Number of names that are remembered.
     pub fn len(&self) -> usize {
         debug_assert_eq!(self.names.len(), self.by_arrival.len());
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -248,7 +248,7 @@
                 Some(DispatcherEvent::RequestReceived(request))
             }
             Err(reason) => {
-                self.dispatcher.reject(request.client, reason.retry_after_ms());
+                self.dispatcher.reject(self.clock.now(), &request, reason.retry_after_ms());
                 None
             }
         }
