--- /dev/null
+++ b/src/node/backend/mysql/pool.rs
@@ -0,0 +1,82 @@
+//! Pool of connections to MySQL servers: chooses an idle connection for an attempt, or dials a new one.
+
+use super::*;
+
+impl MysqlBackend {
+    /// Starts an attempt on an idle or new connection to its server, or ends it if neither is available.
+    pub fn start(&mut self, start: AttemptStart, context: &mut BackendContext) {
+        let at = start.attempt;
+        let job = Job { attempt: at, payload: start.payload, sent: false, reprepared: false };
+        let outcome = if self.engines.serving(&start.engine).is_none() {
+            Outcome::Overloaded // The engine list changed after the server was chosen.
+        } else if let Some(key) = self.idle_connection(&start.engine, &job) {
+            return self.assign(key, job, context);
+        } else if self.engines.connections(&start.engine).len() >= self.settings.max_engine_connections {
+            Outcome::Overloaded
+        } else {
+            match self.dial(&start.engine, context) {
+                Some(key) => return self.assign(key, job, context),
+                None => Outcome::ConnectFailed,
+            }
+        };
+        context.events.push(DispatcherEvent::AttemptEnded(FinishedAttempt::bare(at, outcome)));
+    }
+
+    /// An idle connection, preferably one on which the statement is already prepared.
+    fn idle_connection(&self, engine: &EngineId, job: &Job) -> Option<SlotKey> {
+        let statement = statement_key(&job.payload);
+        let idle = |key: &&SlotKey| {
+            self.connections.get(**key).is_some_and(|conn| matches!(conn.phase, Phase::Idle))
+        };
+        let known = |key: &&SlotKey| {
+            self.connections.get(**key).is_some_and(|conn| conn.prepared.contains_key(&statement))
+        };
+        self.engines.connections(engine).iter().filter(idle).max_by_key(known).copied()
+    }
+
+    pub(super) fn assign(&mut self, key: SlotKey, job: Job, context: &mut BackendContext) {
+        self.placements.insert(job.attempt, key);
+        let Some(conn) = self.connections.get_mut(key) else { return };
+        conn.job = Some(job);
+        if matches!(conn.phase, Phase::Idle) {
+            conn.advance(context.now);
+            self.flush(key, context);
+        }
+    }
+
+    pub(super) fn dial(&mut self, id: &EngineId, context: &mut BackendContext) -> Option<SlotKey> {
+        if self.connections.len() >= self.max_connections {
+            let idle = self.connections.iter().find(|(_, conn)| matches!(conn.phase, Phase::Idle));
+            let idle = idle.map(|(key, _)| key)?;
+            self.close(idle, Outcome::Reset, context);
+        }
+        let engine = self.engines.get_mut(id)?;
+        let socket = BufferedSocket::connect(engine.address)
+            .map_err(|e| context.log.push(format!("dial: engine={} error={e}", id.0)))
+            .ok()?;
+        let key = self.connections.insert(Connection {
+            engine: id.clone(),
+            socket,
+            phase: Phase::Dialling,
+            dialed_at: context.now,
+            last_used: context.now,
+            server_connection_id: 0,
+            nonce: Vec::new(),
+            schema: None,
+            prepared: HashMap::new(),
+            prepare_order: Vec::new(),
+            job: None,
+            kill: None,
+            answer: Vec::new(),
+        });
+        engine.connections.push(key);
+        let watched =
+            self.connections.get_mut(key)?.socket.register(context.registry, SocketOwner::MysqlBackend(key));
+        if watched.is_err() {
+            self.close(key, Outcome::ConnectFailed, context);
+            return None;
+        }
+        context.timers.set(context.now + self.dial_timeout_ms, TimerEvent::MysqlBackend(key));
+        Some(key)
+    }
+}
