MySQL backend: a statement without a database never runs in that of another session

Cause: a pooled connection keeps the database of the session that used it last. Connection::advance sends COM_INIT_DB only for a statement that has a database; one without ran in whatever was there. A box on which the statement was already prepared hid it.

Change: a statement without a database runs only on a connection that never had one; no command but a second login unsets it. At the limit of connections an idle one is closed for it. Statements with a database prefer connections that have one, so that the others stay.

Measured: a_session_without_a_database_does_not_run_in_that_of_an_earlier_session failed before ("leinster" instead of none) and passes now, with many connections and with one. The tests' engines keep the default database, and a prepared statement that of its preparation.

--- a/src/node/backend/mysql/connection.rs
+++ b/src/node/backend/mysql/connection.rs
@@ -3,6 +3,12 @@
 use super::*;
 
 impl Connection {
+    /// Whether a statement with this default schema can run here. A connection that has a schema can change it, but not
+    /// unset it: `COM_RESET_CONNECTION` keeps it, and `COM_CHANGE_USER` is a second login.
+    pub(super) fn can_take_schema(&self, schema: Option<&str>) -> bool {
+        schema.is_some() || self.schema.is_none()
+    }
+
     pub(super) fn command(&mut self, command: Command, body: &[u8]) {
         let mut out = Vec::new();
         mysql_packets::append_packet(&mut out, 0, &[&[command as u8], body].concat());
--- a/src/node/backend/mysql/pool.rs
+++ b/src/node/backend/mysql/pool.rs
@@ -11,7 +11,7 @@
             Outcome::Overloaded // The engine list changed after the server was chosen.
         } else if let Some(key) = self.idle_connection(&start.engine, &job) {
             return self.assign(key, job, context);
-        } else if self.engines.connections(&start.engine).len() >= self.settings.max_engine_connections {
+        } else if !self.make_room(&start.engine, context) {
             Outcome::Overloaded
         } else {
             match self.dial(&start.engine, context) {
@@ -22,16 +22,33 @@
         context.events.push(DispatcherEvent::AttemptEnded(FinishedAttempt::bare(at, outcome)));
     }
 
-    /// An idle connection, preferably one on which the statement is already prepared.
+    /// An idle connection that can run the statement. Prefers one on which the statement is already prepared, then one
+    /// with the statement's schema, then one that has any schema, as only the others can run statements without one.
     fn idle_connection(&self, engine: &EngineId, job: &Job) -> Option<SlotKey> {
         let statement = statement_key(&job.payload);
-        let idle = |key: &&SlotKey| {
-            self.connections.get(**key).is_some_and(|conn| matches!(conn.phase, Phase::Idle))
+        let schema = &job.payload.schema;
+        let rank = |key: SlotKey| {
+            let conn = self.connections.get(key)?;
+            let can_run = matches!(conn.phase, Phase::Idle) && conn.can_take_schema(schema.as_deref());
+            let is_prepared = conn.prepared.contains_key(&statement);
+            can_run.then_some((is_prepared, conn.schema == *schema, conn.schema.is_some(), key))
         };
-        let known = |key: &&SlotKey| {
-            self.connections.get(**key).is_some_and(|conn| conn.prepared.contains_key(&statement))
-        };
-        self.engines.connections(engine).iter().filter(idle).max_by_key(known).copied()
+        let ranked = self.engines.connections(engine).iter().filter_map(|key| rank(*key));
+        ranked.max().map(|(.., key)| key)
+    }
+
+    /// Whether a further connection to an engine is allowed. At the limit, an idle connection is closed for it: its
+    /// schema can't be unset, and the statement that needs a connection has none.
+    fn make_room(&mut self, id: &EngineId, context: &mut BackendContext) -> bool {
+        let keys = self.engines.connections(id);
+        if keys.len() < self.settings.max_engine_connections {
+            return true;
+        }
+        let is_idle =
+            |key: &SlotKey| self.connections.get(*key).is_some_and(|conn| matches!(conn.phase, Phase::Idle));
+        let Some(idle) = keys.iter().copied().find(is_idle) else { return false };
+        self.close(idle, Outcome::Reset, context);
+        true
     }
 
     pub(super) fn assign(&mut self, key: SlotKey, job: Job, context: &mut BackendContext) {
--- a/tests/common/boxes.rs
+++ b/tests/common/boxes.rs
@@ -32,19 +32,36 @@
     Forget,
 }
 
-/// One executed statement: the engine's index, the SQL text and the bytes of the bound parameters.
+/// A query whose result is the name of the database in which it runs.
+pub const WHICH_DATABASE: &str = "select database()";
+
+/// The result of [`WHICH_DATABASE`] on a connection without a default database.
+pub const NO_DATABASE: &str = "none";
+
+/// One executed statement: the engine's index, the default database for its unqualified table names, the SQL text and
+/// the bytes of the bound parameters.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Run {
     pub house: usize,
+    pub database: Option<String>,
     pub text: String,
     pub bound: Vec<u8>,
 }
 
+/// A prepared statement. As in MySQL, its unqualified table names belong to the database that was the default when it
+/// was prepared.
+#[derive(Clone)]
+struct Prepared {
+    text: String,
+    database: Option<String>,
+}
+
 #[derive(Default)]
 struct Session {
     logged_in: bool,
     greeted: bool,
-    prepared: HashMap<u32, String>,
+    database: Option<String>,
+    prepared: HashMap<u32, Prepared>,
     long: Vec<u8>,
 }
 
@@ -101,7 +118,7 @@
     fn prepare(&mut self, text: String) -> Vec<u8> {
         let id = self.prepared.len() as u32 + 1;
         let parameters = text.matches('?').count() as u8;
-        self.prepared.insert(id, text);
+        self.prepared.insert(id, Prepared { text, database: self.database.clone() });
         let mut out = Vec::new();
         append_packet(&mut out, 1, &[&[0], &id.to_le_bytes()[..], &[1, 0, parameters, 0, 0, 0, 0]].concat());
         for i in 0..parameters {
@@ -116,6 +133,19 @@
     }
 }
 
+impl Session {
+    /// Changes the default database as the statements `use NAME` and `drop database NAME` do.
+    fn change_database(&mut self, text: &str) {
+        if let Some(name) = text.strip_prefix("use ") {
+            self.database = Some(name.to_owned());
+        }
+        let dropped = text.strip_prefix("drop database ");
+        if dropped.is_some() && dropped == self.database.as_deref() {
+            self.database = None;
+        }
+    }
+}
+
 impl Boxes {
     pub fn new(count: usize) -> Boxes {
         Boxes::on(Stage::new(count, MYSQL))
@@ -184,12 +214,19 @@
         }
         let text = String::from_utf8_lossy(&body[1..]).into_owned();
         match body[0] {
-            2 | 14 => Some(single_packet(&ok())),
+            2 => {
+                session.database = Some(text);
+                Some(single_packet(&ok()))
+            }
+            14 => Some(single_packet(&ok())),
             3 if text.starts_with("KILL QUERY 7") => {
                 self.kills += 1;
                 Some(single_packet(&ok()))
             }
-            3 => self.run(house, text, Vec::new(), false),
+            3 => {
+                let statement = Prepared { text, database: session.database.clone() };
+                self.run(house, session, statement, Vec::new(), false)
+            }
             22 => Some(session.prepare(text)),
             23 => {
                 let id = u32::from_le_bytes(body[1..5].try_into().unwrap());
@@ -197,11 +234,11 @@
                     self.next.pop();
                     session.prepared.clear();
                 }
-                let Some(text) = session.prepared.get(&id).cloned() else {
+                let Some(statement) = session.prepared.get(&id).cloned() else {
                     return Some(single_packet(&error(1243, "HY000", "unknown statement")));
                 };
                 let bound = [std::mem::take(&mut session.long), body[10..].to_vec()].concat();
-                self.run(house, text, bound, true)
+                self.run(house, session, statement, bound, true)
             }
             24 => {
                 session.long.extend_from_slice(&body[7..]);
@@ -212,13 +249,27 @@
         }
     }
 
-    fn run(&mut self, house: usize, text: String, bound: Vec<u8>, binary: bool) -> Option<Vec<u8>> {
+    fn run(
+        &mut self,
+        house: usize,
+        session: &mut Session,
+        statement: Prepared,
+        bound: Vec<u8>,
+        binary: bool,
+    ) -> Option<Vec<u8>> {
         let mut out = Vec::new();
-        let writes = text.starts_with("insert");
-        self.runs.push(Run { house, text, bound });
+        let Prepared { text, database } = statement;
+        session.change_database(&text);
+        let returns_ok = ["insert", "use", "drop"].iter().any(|verb| text.starts_with(verb));
+        let answer = match &database {
+            _ if text != WHICH_DATABASE => format!("box {house}"),
+            Some(database) => database.clone(),
+            None => NO_DATABASE.to_owned(),
+        };
+        self.runs.push(Run { house, database, text, bound });
         match self.next.pop().unwrap_or(Next::Answer) {
-            Next::Answer | Next::Forget if writes => append_packet(&mut out, 1, &ok()),
-            Next::Answer | Next::Forget => out = result(&format!("box {house}"), binary),
+            Next::Answer | Next::Forget if returns_ok => append_packet(&mut out, 1, &ok()),
+            Next::Answer | Next::Forget => out = result(&answer, binary),
             Next::Hold => {}
             Next::Drop => return None,
             Next::Error(code) => append_packet(&mut out, 1, &error(code, "HY000", "the box's own words")),
--- /dev/null
+++ b/tests/mysql_database.rs
@@ -0,0 +1,57 @@
+//! The default database of a MySQL session: each statement runs in the database of its own session, whichever pooled
+//! connection it uses and whichever sessions used that connection before.
+
+#[path = "common/boxes.rs"]
+mod boxes;
+#[path = "common/stage.rs"]
+mod stage;
+
+use boxes::{Boxes, MYSQL, NO_DATABASE, WHICH_DATABASE};
+use mysql::prelude::Queryable;
+use mysql::{Conn, Error};
+use stage::Stage;
+
+/// A node with one engine and at most one pooled connection to it, which all sessions share.
+fn one_connection() -> Boxes {
+    Boxes::on(Stage::new(1, &MYSQL.replace(r#""mysql":{"#, r#""mysql":{"box_connections":1,"#)))
+}
+
+fn database_of(session: &mut Conn) -> String {
+    session.query_first(WHICH_DATABASE).expect("the query failed").expect("the query has one row")
+}
+
+/// Starts a session with this default database and with the login of the account `till`.
+fn connect(login: &mysql::OptsBuilder, database: Option<&str>) -> Conn {
+    Conn::new(login.clone().db_name(database)).expect("the login failed")
+}
+
+fn error_code(error: Error) -> u16 {
+    match error {
+        Error::MySqlError(error) => error.code,
+        other => panic!("not an error packet: {other}"),
+    }
+}
+
+// Guards against rows and loads of a foreign database: a session without a database ran in that of an earlier session.
+#[test]
+fn a_session_without_a_database_does_not_run_in_that_of_an_earlier_session() {
+    for mut boxes in [Boxes::new(1), one_connection()] {
+        let login = boxes.login("frost");
+        let databases = boxes.with_client(
+            move || {
+                let mut leinster = connect(&login, Some("leinster"));
+                let mut without = connect(&login, None);
+                let databases =
+                    [database_of(&mut leinster), database_of(&mut without), database_of(&mut leinster)];
+                let load = "insert into stock values (?)";
+                leinster.exec_drop(load, (1,)).expect("the load failed");
+                without.exec_drop(load, (2,)).expect("the load failed");
+                databases
+            },
+            |_| {},
+        );
+        assert_eq!(databases, ["leinster", NO_DATABASE, "leinster"]);
+        let loads: Vec<Option<&str>> = boxes.runs[3..].iter().map(|run| run.database.as_deref()).collect();
+        assert_eq!(loads, [Some("leinster"), None]);
+    }
+}
