MySQL front: a reset of the session keeps its default database

What callers saw: a session that was reset by its pool (COM_RESET_CONNECTION) had no database any more.

Cause: handle_command cleared session.schema on RESET_CONNECTION. By the protocol's public manual a reset drops prepared statements, user variables, temporary tables, locks and transactions, and leaves the default database as it is.

Change: the reset drops the prepared statements and nothing else.

Measured: a_reset_keeps_the_database_and_drops_prepared_statements failed before ("none" instead of "munster" and "leinster"), passes now.

--- a/src/node/front/mysql/run.rs
+++ b/src/node/front/mysql/run.rs
@@ -21,8 +21,7 @@
             PING => session.reply(sequence, &mysql_packets::ok()),
             INIT_DB => session.choose_schema(sequence, rest),
             RESET_CONNECTION => {
-                session.statements.clear();
-                session.schema = None;
+                session.statements.clear(); // The default schema stays, as the protocol specifies.
                 session.reply(sequence, &mysql_packets::ok());
             }
             QUERY => self.query(key, sequence, rest, context),
--- a/tests/mysql_database.rs
+++ b/tests/mysql_database.rs
@@ -55,3 +55,25 @@
         assert_eq!(loads, [Some("leinster"), None]);
     }
 }
+
+// Guards against a session that loses its database: a pool resets its sessions, and a reset keeps the default database.
+#[test]
+fn a_reset_keeps_the_database_and_drops_prepared_statements() {
+    let mut boxes = Boxes::new(1);
+    let login = boxes.login("frost");
+    let (databases, code) = boxes.with_client(
+        move || {
+            let mut session = connect(&login, Some("munster"));
+            let statement = session.prep(WHICH_DATABASE).expect("the statement can be prepared");
+            session.reset().expect("the reset failed");
+            let after_login = database_of(&mut session);
+            session.select_db("leinster").expect("the database was not selected");
+            session.reset().expect("the reset failed");
+            let code = error_code(session.exec_drop(&statement, ()).expect_err("the statement was dropped"));
+            ([after_login, database_of(&mut session)], code)
+        },
+        |_| {},
+    );
+    assert_eq!(databases, ["munster", "leinster"]);
+    assert_eq!(code, 1243);
+}
