MySQL front: a prepared statement runs in the database in which it was prepared

A session that prepares a statement, selects another database and executes the statement had it run in the other database: its rows come from there, its loads go there.

Cause: the front kept the text of a prepared statement but not the default database of that moment, and sent each execution with the session's present one. By MySQL's manual the unqualified names of a prepared statement belong to the database of its preparation.

Change: a Statement keeps its schema, and an execution carries that. The front hands the dispatcher a whole Payload.

--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -80,6 +80,8 @@
 #[derive(Debug)]
 struct Statement {
     text: Vec<u8>,
+    /// Default schema of the session when the statement was prepared; unqualified names in the statement belong to it.
+    schema: Option<String>,
     parameter_count: usize,
     types: Vec<u8>,
     long_data: BTreeMap<u16, Vec<u8>>,
--- a/src/node/front/mysql/run.rs
+++ b/src/node/front/mysql/run.rs
@@ -57,7 +57,8 @@
         if let Err(feature) = statement::check_session_independent(&words) {
             return session.send_unsupported(sequence, feature.0);
         }
-        self.dispatch(key, sequence, text.to_vec(), &words, None, context);
+        let payload = Payload { statement: text.to_vec(), bound: None, schema: session.schema.clone() };
+        self.dispatch(key, sequence, payload, &words, context);
     }
 
     pub(super) fn execute(&mut self, key: SlotKey, sequence: u8, rest: &[u8], context: &mut BackendContext) {
@@ -70,9 +71,10 @@
         };
         match statement.bind(after) {
             Ok(bound) => {
-                let text = statement.text.clone();
+                let (text, schema) = (statement.text.clone(), statement.schema.clone());
                 let words = statement::words(&text);
-                self.dispatch(key, sequence, text, &words, Some(bound), context);
+                let payload = Payload { statement: text, bound: Some(bound), schema };
+                self.dispatch(key, sequence, payload, &words, context);
             }
             Err(code) if code == UNSUPPORTED.0 => session.send_unsupported(sequence, "a cursor"),
             Err(code) if code == WRONG_ARGUMENTS.0 => session.send_error(sequence, WRONG_ARGUMENTS),
@@ -85,14 +87,13 @@
         &mut self,
         key: SlotKey,
         sequence: u8,
-        text: Vec<u8>,
+        payload: Payload,
         words: &[String],
-        bound: Option<BoundParameters>,
         context: &mut BackendContext,
     ) {
         let Some(session) = self.sessions.get_mut(key) else { return };
         let verb = words.iter().find(|w| *w != "(").map_or("", String::as_str);
-        let lower = String::from_utf8_lossy(&text).to_lowercase();
+        let lower = String::from_utf8_lossy(&payload.statement).to_lowercase();
         let reads = statement::is_read_only(words);
         let rule = self.settings.rules.iter().find(|rule| {
             let verb = rule.verb.as_deref().is_none_or(|v| v == verb);
@@ -104,7 +105,7 @@
         session.requests += 1;
         session.phase = Phase::Busy(sequence);
         let id = session.requests;
-        let table_group = table_group::table_group(&text).unwrap_or(0);
+        let table_group = table_group::table_group(&payload.statement).unwrap_or(0);
         context.events.push(DispatcherEvent::RequestReceived(ClientRequest {
             client: ClientHandle { front: Front::Mysql, conn: key, id },
             name: Arc::from(format!("m{}-{}-{id}", key.slot, key.generation)),
@@ -124,7 +125,7 @@
                     OrderBy::Session => format!("s{}-{}", key.slot, key.generation),
                 })
             }),
-            payload: Rc::new(Payload { statement: text, bound, schema: session.schema.clone() }),
+            payload: Rc::new(payload),
             admitted: None,
         }));
     }
--- a/src/node/front/mysql/session.rs
+++ b/src/node/front/mysql/session.rs
@@ -35,7 +35,8 @@
         let handle = self.next_statement;
         self.next_statement = self.next_statement.wrapping_add(1).max(1);
         let (types, long_data) = (Vec::new(), BTreeMap::new());
-        self.statements.insert(handle, Statement { text: text.to_vec(), parameter_count, types, long_data });
+        let (text, schema) = (text.to_vec(), self.schema.clone());
+        self.statements.insert(handle, Statement { text, schema, parameter_count, types, long_data });
         let mut body = vec![0];
         body.extend(handle.to_le_bytes());
         body.extend(0u16.to_le_bytes());
--- a/tests/mysql_database.rs
+++ b/tests/mysql_database.rs
@@ -20,9 +20,9 @@
     session.query_first(WHICH_DATABASE).expect("the query failed").expect("the query has one row")
 }
 
-/// Starts a session with this default database and with the login of the account `till`.
+/// Starts a session with this default database. Its client prepares a statement anew each time.
 fn connect(login: &mysql::OptsBuilder, database: Option<&str>) -> Conn {
-    Conn::new(login.clone().db_name(database)).expect("the login failed")
+    Conn::new(login.clone().db_name(database).stmt_cache_size(0)).expect("the login failed")
 }
 
 fn error_code(error: Error) -> u16 {
@@ -77,3 +77,26 @@
     assert_eq!(databases, ["munster", "leinster"]);
     assert_eq!(code, 1243);
 }
+
+// Guards against loads in a foreign database: a statement belongs to the database that was the default when it was
+// prepared, whatever the session has selected since.
+#[test]
+fn a_prepared_statement_runs_in_the_database_in_which_it_was_prepared() {
+    let mut boxes = Boxes::new(2);
+    let login = boxes.login("frost");
+    let databases = boxes.with_client(
+        move || {
+            let mut session = connect(&login, None);
+            let without = session.prep(WHICH_DATABASE).expect("the statement can be prepared");
+            session.select_db("munster").expect("the database was not selected");
+            let munster = session.prep(WHICH_DATABASE).expect("the statement can be prepared");
+            session.query_drop("use leinster").expect("the database was not selected");
+            let mut run =
+                |statement| session.exec_first(statement, ()).expect("the query failed").unwrap_or_default();
+            let prepared: [String; 2] = [run(&without), run(&munster)];
+            (prepared, database_of(&mut session))
+        },
+        |_| {},
+    );
+    assert_eq!(databases, ([NO_DATABASE.to_owned(), "munster".to_owned()], "leinster".to_owned()));
+}
