MySQL front: USE selects the session's database in every form, and never runs on an engine

Two faults of one place. A prepared `USE` was sent to an engine, where it changed the default database of a pooled connection behind the pool's back, so that other sessions ran in a foreign database. And the name in a plain `USE` was read from the fourth byte of the text: a leading blank or comment, as pools and tools write it, gave the session a database like "SE munster".

Cause: check_session_independent did not know `USE`; query cut the text at a fixed place.

Change: statement::schema_of_use reads a plain `USE` behind white space and comments; each other form (prepared, in a conditional comment, with further words) is refused with 1235, as MySQL itself refuses a prepared one.

Measured: a_use_statement_is_never_sent_to_an_engine and use_selects_the_database_in_every_form_in_which_clients_write_it failed before, pass now.

--- a/src/node/front/mysql/run.rs
+++ b/src/node/front/mysql/run.rs
@@ -49,10 +49,8 @@
     pub(super) fn query(&mut self, key: SlotKey, sequence: u8, text: &[u8], context: &mut BackendContext) {
         let Some(session) = self.sessions.get_mut(key) else { return };
         let words = statement::words(text);
-        if words.first().is_some_and(|w| w == "USE") {
-            let name = String::from_utf8_lossy(&text[3.min(text.len())..]).into_owned();
-            let name = name.trim().trim_end_matches(';').trim().trim_matches('`');
-            return session.choose_schema(sequence, name.as_bytes());
+        if let Some(schema) = statement::schema_of_use(text) {
+            return session.choose_schema(sequence, &schema);
         }
         if let Err(feature) = statement::check_session_independent(&words) {
             return session.send_unsupported(sequence, feature.0);
--- a/src/node/front/mysql/statement.rs
+++ b/src/node/front/mysql/statement.rs
@@ -52,6 +52,46 @@
     words
 }
 
+/// The schema that a plain `USE` statement selects. `None` for other statements, and for `USE` in a conditional comment
+/// or with further words.
+pub fn schema_of_use(sql: &[u8]) -> Option<Vec<u8>> {
+    let (verb, rest) = skip_blanks(sql).split_first_chunk::<3>()?;
+    if !verb.eq_ignore_ascii_case(b"USE") || rest.first().is_some_and(|byte| is_name_byte(*byte)) {
+        return None;
+    }
+    let rest = skip_blanks(rest);
+    let (name, end) = match rest.strip_prefix(b"`") {
+        Some(quoted) => quoted.split_at_checked(quoted.iter().position(|byte| *byte == b'`')?)?,
+        None => rest.split_at(rest.iter().position(|byte| !is_name_byte(*byte)).unwrap_or(rest.len())),
+    };
+    let mut end = end.strip_prefix(b"`").unwrap_or(end);
+    while let Some(after) = skip_blanks(end).strip_prefix(b";") {
+        end = after;
+    }
+    (!name.is_empty() && skip_blanks(end).is_empty()).then(|| name.to_vec())
+}
+
+fn is_name_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || byte == b'_' || byte == b'$' || byte >= 0x80
+}
+
+/// Skips white space and comments, but not conditional comments `/*! ... */`, whose content MySQL executes.
+fn skip_blanks(sql: &[u8]) -> &[u8] {
+    let mut rest = sql.trim_ascii_start();
+    loop {
+        let (start, end): (usize, &[u8]) = match rest {
+            [b'/', b'*', b'!', ..] => return rest,
+            [b'/', b'*', ..] => (2, b"*/"),
+            [b'#', ..] => (1, b"\n"),
+            [b'-', b'-', after, ..] if after.is_ascii_whitespace() => (2, b"\n"),
+            _ => return rest,
+        };
+        let length = rest[start..].windows(end.len()).position(|window| window == end);
+        let after = length.map_or(rest.len(), |length| start + length + end.len());
+        rest = rest[after..].trim_ascii_start();
+    }
+}
+
 /// Counts the parameter markers (`?`) of a statement.
 pub fn count_parameters(words: &[String]) -> usize {
     words.iter().filter(|w| *w == "?").count()
@@ -66,6 +106,7 @@
             return Err(Unsupported("transactions"));
         }
         ("SET", _) => return Err(Unsupported("SET")),
+        ("USE", _) => return Err(Unsupported("USE other than as a plain statement")),
         ("LOCK" | "UNLOCK", _) => return Err(Unsupported("table locks")),
         ("PREPARE" | "EXECUTE" | "DEALLOCATE", _) => return Err(Unsupported("PREPARE as a statement")),
         ("HANDLER", _) => return Err(Unsupported("HANDLER")),
--- a/tests/mysql_database.rs
+++ b/tests/mysql_database.rs
@@ -100,3 +100,53 @@
     );
     assert_eq!(databases, ([NO_DATABASE.to_owned(), "munster".to_owned()], "leinster".to_owned()));
 }
+
+// Guards against a pooled connection whose database is not the one that the pool assumes: prepared, `USE` would change
+// it on the connection of one engine.
+#[test]
+fn a_use_statement_is_never_sent_to_an_engine() {
+    let mut boxes = one_connection();
+    let login = boxes.login("frost");
+    let (codes, databases) = boxes.with_client(
+        move || {
+            let mut leinster = connect(&login, Some("leinster"));
+            let mut munster = connect(&login, Some("munster"));
+            let codes = [
+                error_code(leinster.prep("use munster").map(drop).expect_err("USE was prepared")),
+                error_code(leinster.prep("/*!40000 use munster */").map(drop).expect_err("USE was prepared")),
+                error_code(leinster.query_drop("/*!40000 use munster */").expect_err("USE was sent")),
+                error_code(leinster.query_drop("use munster extra").expect_err("USE was sent")),
+            ];
+            (codes, [database_of(&mut munster), database_of(&mut leinster)])
+        },
+        |_| {},
+    );
+    assert_eq!(codes, [1235; 4]);
+    assert_eq!(databases, ["munster", "leinster"]);
+    assert!(boxes.runs.iter().all(|run| run.text == WHICH_DATABASE));
+}
+
+// Guards against a session in the wrong database: the name was read from a fixed place in the text of `USE`.
+#[test]
+fn use_selects_the_database_in_every_form_in_which_clients_write_it() {
+    let mut boxes = Boxes::new(1);
+    let login = boxes.login("frost");
+    let forms = [
+        "use munster",
+        "  USE munster ;",
+        "/* pool */ use `munster`",
+        "-- pool\n#\nuse\tmunster;",
+        "use`munster`",
+    ];
+    let databases = boxes.with_client(
+        move || {
+            forms.map(|form| {
+                let mut session = connect(&login, Some("leinster"));
+                session.query_drop(form).expect("the database was not selected");
+                database_of(&mut session)
+            })
+        },
+        |_| {},
+    );
+    assert_eq!(databases, ["munster"; 5]);
+}
