MySQL backend: a connection that dropped a database is not reused

A server unsets the default database of the connection that drops it. The pool still took the connection for one in that database: a later statement of a session of that database, made anew meanwhile, failed there with 1046.

Change: a payload tells that its statement drops a schema; the backend closes the connection after such a statement has been sent.

Measured: a_connection_that_dropped_a_database_serves_no_further_statement failed before (none instead of "munster"), passes now.

--- a/src/node/backend/mysql/mod.rs
+++ b/src/node/backend/mysql/mod.rs
@@ -263,7 +263,8 @@
         }
     }
 
-    /// Ends the attempt on a connection and makes the connection available for the next command.
+    /// Ends the attempt on a connection and makes the connection available for the next command, unless its default
+    /// schema is no longer known.
     fn end_attempt(
         &mut self,
         key: SlotKey,
@@ -273,14 +274,16 @@
     ) -> AfterPacket {
         let Some(conn) = self.connections.get_mut(key) else { return AfterPacket::Close };
         conn.answer = Vec::new();
+        let mut is_schema_known = true;
         if let Some(job) = conn.job.take() {
+            is_schema_known = !(job.sent && job.payload.drops_schema);
             self.placements.remove(&job.attempt);
             let ended = FinishedAttempt { response, ..FinishedAttempt::bare(job.attempt, outcome) };
             context.events.push(DispatcherEvent::AttemptEnded(ended));
         }
         conn.advance(context.now);
         let serving = self.engines.serving(&conn.engine).is_some();
-        if serving || conn.kill.is_some() {
+        if is_schema_known && (serving || conn.kill.is_some()) {
             AfterPacket::KeepOpen
         } else {
             AfterPacket::Close
--- a/src/node/front/mysql/run.rs
+++ b/src/node/front/mysql/run.rs
@@ -55,7 +55,9 @@
         if let Err(feature) = statement::check_session_independent(&words) {
             return session.send_unsupported(sequence, feature.0);
         }
-        let payload = Payload { statement: text.to_vec(), bound: None, schema: session.schema.clone() };
+        let (statement, schema) = (text.to_vec(), session.schema.clone());
+        let drops_schema = statement::drops_schema(&words);
+        let payload = Payload { statement, bound: None, schema, drops_schema };
         self.dispatch(key, sequence, payload, &words, context);
     }
 
@@ -71,7 +73,8 @@
             Ok(bound) => {
                 let (text, schema) = (statement.text.clone(), statement.schema.clone());
                 let words = statement::words(&text);
-                let payload = Payload { statement: text, bound: Some(bound), schema };
+                let drops_schema = statement::drops_schema(&words);
+                let payload = Payload { statement: text, bound: Some(bound), schema, drops_schema };
                 self.dispatch(key, sequence, payload, &words, context);
             }
             Err(code) if code == UNSUPPORTED.0 => session.send_unsupported(sequence, "a cursor"),
--- a/src/node/front/mysql/statement.rs
+++ b/src/node/front/mysql/statement.rs
@@ -133,6 +133,14 @@
     Ok(())
 }
 
+/// Whether a statement drops a schema.
+pub fn drops_schema(words: &[String]) -> bool {
+    match words.iter().position(|word| word != ";").map(|first| &words[first..]) {
+        Some([verb, object, ..]) => verb == "DROP" && (object == "DATABASE" || object == "SCHEMA"),
+        _ => false,
+    }
+}
+
 /// Whether a statement is read-only, so that it can safely run again.
 pub fn is_read_only(words: &[String]) -> bool {
     const OPENS: &[&str] = &["SELECT", "SHOW", "EXPLAIN", "DESCRIBE", "DESC", "VALUES", "TABLE", "WITH"];
--- a/tests/mysql_database.rs
+++ b/tests/mysql_database.rs
@@ -150,3 +150,22 @@
     );
     assert_eq!(databases, ["munster"; 5]);
 }
+
+// Guards against a session that loses its database on one connection: dropping a database unsets it on the connection
+// that drops it.
+#[test]
+fn a_connection_that_dropped_a_database_serves_no_further_statement() {
+    let mut boxes = one_connection();
+    let login = boxes.login("frost");
+    let databases = boxes.with_client(
+        move || {
+            let mut session = connect(&login, Some("munster"));
+            session.query_drop("drop database munster").expect("the database was not dropped");
+            let after_text = database_of(&mut session);
+            session.exec_drop("drop database munster", ()).expect("the database was not dropped");
+            [after_text, database_of(&mut session)]
+        },
+        |_| {},
+    );
+    assert_eq!(databases, ["munster"; 2]);
+}
