MySQL front: unqualified tables belong to the table group of the default database

What callers saw: nobody has told of it; found while looking at what else forgets the session's default database. With `order_by = "tables"` a load on `t` in database s_1 and one on `s_1.t` had different ordering keys (t0 and t1), so they could run at once or out of order, against the promise that loads of one key run in order. The decision module also took their table group for 0.

Cause: dispatch computed the table group from the text alone.

Change: table_group_in takes the default schema of the statement; an unqualified table name belongs to it. JSON-RPC has no default schema.

Measured: an_unqualified_load_has_the_table_group_of_its_default_database failed before (the second load did not wait), passes now.

--- a/src/node/front/mysql/run.rs
+++ b/src/node/front/mysql/run.rs
@@ -106,7 +106,8 @@
         session.requests += 1;
         session.phase = Phase::Busy(sequence);
         let id = session.requests;
-        let table_group = table_group::table_group(&payload.statement).unwrap_or(0);
+        let table_group =
+            table_group::table_group_in(&payload.statement, payload.schema.as_deref()).unwrap_or(0);
         context.events.push(DispatcherEvent::RequestReceived(ClientRequest {
             client: ClientHandle { front: Front::Mysql, conn: key, id },
             name: Arc::from(format!("m{}-{}-{id}", key.slot, key.generation)),
--- a/src/node/table_group.rs
+++ b/src/node/table_group.rs
@@ -82,12 +82,19 @@
     std::str::from_utf8(digits).ok().filter(|_| is_number)?.parse().ok()
 }
 
-/// Returns the table group of a statement. Table names are the names that follow a keyword such as FROM. If none of
-/// them has a group, the first qualified name elsewhere that has one counts; it may be a column of a table alias.
+/// Returns the table group of a statement without a default schema, see [`table_group_in`].
 pub fn table_group(sql: &[u8]) -> Option<u64> {
+    table_group_in(sql, None)
+}
+
+/// Returns the table group of a statement. Table names are the names that follow a keyword such as FROM; unqualified
+/// ones belong to the default schema. If none of them has a group, the first qualified name elsewhere that has one
+/// counts; it may be a column of a table alias.
+pub fn table_group_in(sql: &[u8], default_schema: Option<&str>) -> Option<u64> {
     // Keywords that a table name follows, and keywords that end a list of table names.
     const BEFORE: &[&str] = &["from", "join", "into", "update", "table", "using", "only", "call"];
     const AFTER: &[&str] = &["where", "set", "on", "group", "order", "having", "limit", "values", "select"];
+    let default_group = default_schema.and_then(|schema| group_of(schema.as_bytes()));
     let tokens = tokenize(sql);
     let mut fallback = None;
     let (mut i, mut in_table_list, mut expects_table) = (0, false, false);
@@ -100,6 +107,8 @@
         } else if token == Token::Symbol(b',') {
             expects_table = in_table_list;
         } else if let Some(first) = token.name() {
+            // A name behind a parenthesis may be a column, as in `USING (id)`.
+            let is_behind_parenthesis = i > 0 && tokens[i - 1] == Token::Symbol(b'(');
             let mut parts = vec![first];
             while let (Some(Token::Symbol(b'.')), Some(next)) =
                 (tokens.get(i + 1), tokens.get(i + 2).and_then(|t| t.name()))
@@ -107,8 +116,11 @@
                 parts.push(next);
                 i += 2;
             }
-            let schema = parts.len().checked_sub(2).and_then(|at| group_of(parts[at]));
-            match schema {
+            let group = match parts.len().checked_sub(2) {
+                Some(schema) => group_of(parts[schema]),
+                None => default_group.filter(|_| expects_table && !is_behind_parenthesis),
+            };
+            match group {
                 Some(group) if expects_table => return Some(group),
                 Some(group) => fallback = fallback.or(Some(group)),
                 None => {}
--- a/tests/order_mysql.rs
+++ b/tests/order_mysql.rs
@@ -14,12 +14,17 @@
 /// Runs a load whose engine connection breaks, so that its ordering key is paused, and then a second load in another
 /// session. Returns whether the second load had to wait for the end of the pause.
 fn second_load_waits(order_by: &str, first: &str, second: &str) -> bool {
+    second_load_waits_for(order_by, None, first, second)
+}
+
+/// Like `second_load_waits`, where the session of the first load has this default database.
+fn second_load_waits_for(order_by: &str, database: Option<&str>, first: &str, second: &str) -> bool {
     let rule = format!(r#""rules":[{{"verb":"INSERT","class":"delivery-load"{order_by}}},"#);
     let section = MYSQL.replace(r#""rules":["#, &rule);
     assert!(section.contains("INSERT"), "the configuration lacks the rule: {section}");
     let mut boxes = Boxes::on(Stage::in_order_with(2, &section));
     boxes.next = vec![Next::Answer, Next::Drop];
-    let (login, load) = (boxes.login("frost"), first.to_owned());
+    let (login, load) = (boxes.login("frost").db_name(database), first.to_owned());
     let broken = boxes
         .with_client(move || Conn::new(login).expect("the login failed").query_drop(load).is_err(), |_| {});
     assert!(broken, "a load whose engine connection broke did not fail");
@@ -59,6 +64,16 @@
     assert!(!second_load_waits(by, "insert into s_1.t values (1)", "insert into s_2.t values (2)"));
 }
 
+// Guards against loads of one table group that run out of order: the tables of an unqualified name are those of the
+// session's default database.
+#[test]
+fn an_unqualified_load_has_the_table_group_of_its_default_database() {
+    let by = r#","order_by":"tables""#;
+    let first = "insert into t values (1)";
+    assert!(second_load_waits_for(by, Some("s_1"), first, "insert into s_1.t values (2)"));
+    assert!(!second_load_waits_for(by, Some("s_1"), first, "insert into s_2.t values (2)"));
+}
+
 #[test]
 fn sessions_need_not_wait_for_each_other() {
     assert!(!second_load_waits(
--- a/tests/table_groups.rs
+++ b/tests/table_groups.rs
@@ -1,6 +1,6 @@
 //! Extraction of the table group from SQL statements.
 
-use beamgap::node::table_group::table_group;
+use beamgap::node::table_group::{table_group, table_group_in};
 
 #[test]
 fn the_schema_of_the_table_names_the_group() {
@@ -24,3 +24,20 @@
         assert_eq!(table_group(sql.as_bytes()), expected, "{sql}");
     }
 }
+
+#[test]
+fn an_unqualified_table_belongs_to_the_default_schema() {
+    for (sql, expected) in [
+        ("select * from orders", Some(17)),
+        ("select t_1.x from orders t_1", Some(17)),
+        ("insert into s_5.t select * from orders", Some(5)),
+        ("update orders set n = 1", Some(17)),
+        ("insert into staging.q values (1)", None),
+        ("select * from staging.a join staging.b using (id)", None),
+        ("select * from (select * from s_4.t) x", Some(4)),
+        ("select 1", None),
+    ] {
+        assert_eq!(table_group_in(sql.as_bytes(), Some("sales_17")), expected, "{sql}");
+    }
+    assert_eq!(table_group_in(b"select * from orders", Some("sales")), None);
+}
