Reject a request with an idempotency key only while its window is open

A request whose key every engine knows was refused as "not run" after the time for which engines drop a repeat: a client that tries again runs it twice.

Cause: Repeat::may_be_rejected looked at the scope of the key and not at its window; the front end's own retries look at both.

Change: may_be_rejected gets the time from the send of the first attempt that may have run to the client's earliest retry (the end of the backoff) and asks window_is_open, as the retries do. The dispatcher keeps the time of that send; the record of recent names keeps the arrival of each. The check of tests/rules.rs is stricter: a rejection of such a class counts as wrong once its window has passed.

Measured: a_request_with_a_key_is_not_rejected_once_its_window_has_passed and every_rule_holds (stricter) failed before, pass now.

--- a/crates/decisions/src/decide/completion.rs
+++ b/crates/decisions/src/decide/completion.rs
@@ -23,8 +23,11 @@
     pub(super) fn reject_or_fail(&mut self, sequence: u64, actions: &mut Vec<Action>) {
         let retry_after = self.retry_after();
         let request = &self.requests[sequence];
-        let may_be_rejected = self.class(request).repeat.may_be_rejected();
-        let harmless = may_be_rejected || request.first_that_may_have_run().is_none();
+        let backoff = retry_after.unwrap_or_default();
+        let harmless = request.first_that_may_have_run().is_none_or(|attempt| {
+            let until_retry = self.clock.since(attempt.sent).plus(backoff);
+            self.class(request).repeat.may_be_rejected(until_retry)
+        });
         let id = request.request.id.clone();
         if harmless {
             actions.push(Action::Reject {
--- a/crates/decisions/src/decide/send_rules.rs
+++ b/crates/decisions/src/decide/send_rules.rs
@@ -3,11 +3,7 @@
 use super::Gateway;
 use crate::state::engine::Engine;
 use crate::state::request::TrackedRequest;
-use crate::{ClassSettings, EngineEntry, Micros, Repeat, RepeatGroup};
-
-/// Safety margin before the end of the time in which engines drop repeats; no retry is sent during
-/// this margin.
-const KEYED_WINDOW_MARGIN: Micros = Micros::from_millis(200);
+use crate::{ClassSettings, EngineEntry, Repeat, RepeatGroup};
 
 /// Whether the settings allow a class to use an engine, by its kind of machine and its zone.
 pub(super) fn is_open_to(class: &ClassSettings, engine: &EngineEntry) -> bool {
@@ -70,13 +66,13 @@
         match class.repeat {
             Repeat::Safe => true,
             Repeat::Unsafe => false,
-            Repeat::Keyed { group, window } => {
+            Repeat::Keyed { group, .. } => {
                 let same_group = match group {
                     RepeatGroup::All => true,
                     RepeatGroup::Zone => first.zone == engine.entry.zone,
                     RepeatGroup::Cell => first.cell == engine.entry.cell,
                 };
-                same_group && self.clock.since(earlier.sent).plus(KEYED_WINDOW_MARGIN) < window
+                same_group && class.repeat.window_is_open(self.clock.since(earlier.sent))
             }
         }
     }
--- a/crates/decisions/src/settings/class.rs
+++ b/crates/decisions/src/settings/class.rs
@@ -3,6 +3,9 @@
 
 use crate::Micros;
 
+/// Safety margin before the end of the time in which engines drop repeats; a repeat in this margin may arrive too late.
+const KEYED_WINDOW_MARGIN: Micros = Micros::from_millis(200);
+
 /// Whether a request of a class may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -22,17 +25,26 @@
 }
 
 impl Repeat {
-    /// Whether a client may safely be told to try again although an attempt may have run. True if
-    /// every engine can serve or drop a repeat.
-    pub fn may_be_rejected(self) -> bool {
-        matches!(
-            self,
-            Repeat::Safe
-                | Repeat::Keyed {
-                    group: RepeatGroup::All,
-                    ..
-                }
-        )
+    /// Whether a client may safely be told to try again although an attempt may have run. True if every engine can serve
+    /// or drop a repeat. `until_retry` is the time from the send of the first attempt that may have run to the earliest
+    /// retry of the client.
+    pub fn may_be_rejected(self, until_retry: Micros) -> bool {
+        match self {
+            Repeat::Safe => true,
+            Repeat::Keyed { group, .. } => {
+                group == RepeatGroup::All && self.window_is_open(until_retry)
+            }
+            Repeat::Unsafe => false,
+        }
+    }
+
+    /// Whether engines still drop a repeat that is sent `since_first_send` after the first attempt that may have run.
+    /// False for classes that are not idempotent by key.
+    pub fn window_is_open(self, since_first_send: Micros) -> bool {
+        match self {
+            Repeat::Keyed { window, .. } => since_first_send.plus(KEYED_WINDOW_MARGIN) < window,
+            Repeat::Safe | Repeat::Unsafe => false,
+        }
     }
 }
 
--- a/src/node/dispatcher/arrival.rs
+++ b/src/node/dispatcher/arrival.rs
@@ -5,21 +5,31 @@
 impl RequestDispatcher {
     /// Rejects a request before it is accepted, so that nothing of it has run.
     pub fn reject(&mut self, now: f64, request: &ClientRequest, backoff_ms: f64) {
-        let is_repeated = self.is_repeated(now, request);
-        self.respond_unaccepted(request, is_repeated, backoff_ms);
+        let earlier_arrival = self.earlier_arrival(now, request);
+        self.respond_unaccepted(now, request, earlier_arrival, backoff_ms);
     }
 
-    /// Whether a request has the name of a recent or open request, or the client handle of an open one.
-    fn is_repeated(&mut self, now: f64, request: &ClientRequest) -> bool {
-        let is_open = self.by_name.contains_key(&RequestId(request.name.clone()))
-            || self.by_client.contains_key(&request.client);
-        is_open || self.recent_names.contains(now, &request.name)
+    /// Arrival time of the earlier request that a request repeats, in milliseconds: one with the same name, recent or
+    /// open, or an open one with the same client handle.
+    fn earlier_arrival(&mut self, now: f64, request: &ClientRequest) -> Option<f64> {
+        let by_name = self.by_name.get(&RequestId(request.name.clone()));
+        let same_handle = self.by_client.get(&request.client);
+        let open = by_name.into_iter().chain(same_handle).filter_map(|key| self.open.get(*key));
+        let arrivals =
+            open.map(|open| open.arrived_at).chain(self.recent_names.arrived_at(now, &request.name));
+        arrivals.min_by(f64::total_cmp)
     }
 
     /// Sends the final response to a request that is not accepted. Nothing runs for it, but if it repeats an earlier
-    /// request, that one may have run.
-    fn respond_unaccepted(&mut self, request: &ClientRequest, is_repeated: bool, backoff_ms: f64) {
-        let response = self.response_without_result(request.class, is_repeated, backoff_ms);
+    /// request, that one may have run since its arrival.
+    fn respond_unaccepted(
+        &mut self,
+        now: f64,
+        request: &ClientRequest,
+        earlier_arrival: Option<f64>,
+        backoff_ms: f64,
+    ) {
+        let response = self.response_without_result(now, request.class, earlier_arrival, backoff_ms);
         self.commands.push(DispatcherCommand::Respond(request.client, response));
     }
 
@@ -36,11 +46,11 @@
         let is_full = self.rejects_new
             || self.open.len() >= self.max_open
             || self.payload_bytes + size > self.max_payload_bytes;
-        let is_repeated = self.is_repeated(now, &client_request);
+        let earlier_arrival = self.earlier_arrival(now, &client_request);
         self.recent_names.insert(now, &client_request.name);
-        if is_full || is_repeated {
+        if is_full || earlier_arrival.is_some() {
             let backoff_ms = self.settings.retry_after.map_or(DEFAULT_BACKOFF_MS, from_micros);
-            return self.respond_unaccepted(&client_request, is_repeated, backoff_ms);
+            return self.respond_unaccepted(now, &client_request, earlier_arrival, backoff_ms);
         }
         self.payload_bytes += size;
         let deadline = client_request.deadline(LATE_RESPONSE_GRACE_MS);
@@ -66,7 +76,7 @@
             outstanding: None,
             memory_mb: 0,
             priority: 1,
-            may_have_run: false,
+            may_run_since: None,
             arrived_at: now,
             may_still_run: false,
         });
--- a/src/node/dispatcher/decisions.rs
+++ b/src/node/dispatcher/decisions.rs
@@ -19,24 +19,30 @@
     }
 
     /// The final response to an open request that gets no result.
-    pub(super) fn unserved_response(&self, key: SlotKey, backoff_ms: f64) -> FinalResponse {
+    pub(super) fn unserved_response(&self, now: f64, key: SlotKey, backoff_ms: f64) -> FinalResponse {
         let Some(open) = self.open.get(key) else { return FinalResponse::Failed };
-        let may_have_run = open.may_have_run || open.outstanding.is_some();
-        self.response_without_result(open.request.class, may_have_run, backoff_ms)
+        let in_flight_since = open.outstanding.as_ref().map(|outstanding| outstanding.sent_at);
+        let may_run_since = open.may_run_since.or(in_flight_since);
+        self.response_without_result(now, open.request.class, may_run_since, backoff_ms)
     }
 
     /// The final response to a request of this class that gets no result. `Rejected` invites the client to send the
-    /// request again, so it is given only if nothing has run or the class makes another run harmless.
+    /// request again, so it is given only if nothing has run or the class makes another run harmless. `may_run_since`
+    /// is the time from which on an attempt may have run, in milliseconds.
     pub(super) fn response_without_result(
         &self,
+        now: f64,
         class: ClassId,
-        may_have_run: bool,
+        may_run_since: Option<f64>,
         backoff_ms: f64,
     ) -> FinalResponse {
-        if may_have_run && !self.settings.classes[class.0].repeat.may_be_rejected() {
-            FinalResponse::Failed
-        } else {
+        let repeat = self.settings.classes[class.0].repeat;
+        let is_harmless =
+            may_run_since.is_none_or(|since| repeat.may_be_rejected(to_micros(now - since + backoff_ms)));
+        if is_harmless {
             FinalResponse::Rejected { backoff_ms }
+        } else {
+            FinalResponse::Failed
         }
     }
 
@@ -59,7 +65,7 @@
             Action::Reject { request, retry_after } => {
                 let key = self.key_of(&request)?;
                 let backoff_ms = retry_after.map_or(DEFAULT_BACKOFF_MS, from_micros);
-                let response = self.unserved_response(key, backoff_ms);
+                let response = self.unserved_response(now, key, backoff_ms);
                 self.respond(key, response);
                 self.remove_if_done(key, timers);
                 None
@@ -167,7 +173,7 @@
             .and_then(|a| a.retry_budget.as_ref())
             .filter(|_| open.attempts_sent > 0);
         if retry_budget.is_some_and(|budget| !budget.try_acquire(&request.0)) {
-            let response = self.unserved_response(key, DEFAULT_BACKOFF_MS);
+            let response = self.unserved_response(now, key, DEFAULT_BACKOFF_MS);
             self.respond(key, response);
             self.remove_if_done(key, timers);
             return Some(AttemptEnd {
--- a/src/node/dispatcher/mod.rs
+++ b/src/node/dispatcher/mod.rs
@@ -62,7 +62,8 @@
     outstanding: Option<OutstandingAttempt>,
     memory_mb: u64,
     priority: u8,
-    may_have_run: bool,
+    /// When the first attempt was sent that has ended and may have run, in milliseconds.
+    may_run_since: Option<f64>,
     arrived_at: f64,
     /// Whether an engine may still run an attempt that has ended here.
     may_still_run: bool,
@@ -224,7 +225,7 @@
         // The timer fires before the request's own deadline only if a graceful shutdown has moved it.
         let is_cut_short = now < open.deadline;
         let response = if is_cut_short {
-            self.unserved_response(key, DEFAULT_BACKOFF_MS)
+            self.unserved_response(now, key, DEFAULT_BACKOFF_MS)
         } else {
             FinalResponse::TimedOut
         };
@@ -250,7 +251,7 @@
         {
             // The request's policy allows no further attempt, or none could end before the response deadline of a
             // graceful shutdown.
-            let response = self.unserved_response(key, DEFAULT_BACKOFF_MS);
+            let response = self.unserved_response(now, key, DEFAULT_BACKOFF_MS);
             self.respond(key, response);
             attempt_end.request_answered = true;
         }
@@ -269,7 +270,9 @@
         let open = self.open.get_mut(finished.attempt.request)?;
         let outstanding = open.outstanding.take_if(|out| out.attempt == finished.attempt.attempt)?;
         timers.cancel(outstanding.timeout);
-        open.may_have_run |= !finished.outcome.never_ran();
+        if !finished.outcome.never_ran() {
+            open.may_run_since.get_or_insert(outstanding.sent_at);
+        }
         open.may_still_run |= finished.outcome.may_still_run() && !finished.confirmed;
         Some(AttemptEnd {
             request: RequestId(open.request.name.clone()),
--- a/src/node/dispatcher/recent_names.rs
+++ b/src/node/dispatcher/recent_names.rs
@@ -2,7 +2,7 @@
 //! each time, and could have a load run twice.
 
 use crate::Settings;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 /// Least time for which a name is remembered, in milliseconds.
@@ -17,7 +17,8 @@
 /// The names of recent requests, in order of arrival.
 pub struct RecentNames {
     retention_ms: f64,
-    names: HashSet<Arc<str>>,
+    /// Arrival time of the first request with each name, in milliseconds.
+    names: HashMap<Arc<str>, f64>,
     by_arrival: VecDeque<(f64, Arc<str>)>,
 }
 
@@ -28,7 +29,7 @@
         let budget_span_ms = settings.retry_budget.map_or(0.0, |budget| budget.span.as_millis());
         RecentNames {
             retention_ms: budget_span_ms.clamp(MIN_RETENTION_MS, MAX_RETENTION_MS),
-            names: HashSet::new(),
+            names: HashMap::new(),
             by_arrival: VecDeque::new(),
         }
     }
@@ -36,17 +37,18 @@
     /// Records a name at time `now` in milliseconds. Returns whether the name is new within the retention time.
     pub fn insert(&mut self, now: f64, name: &Arc<str>) -> bool {
         self.drop_old(now);
-        let is_new = self.names.insert(name.clone());
-        if is_new {
-            self.by_arrival.push_back((now, name.clone()));
+        if self.names.contains_key(name) {
+            return false;
         }
-        is_new
+        self.names.insert(name.clone(), now);
+        self.by_arrival.push_back((now, name.clone()));
+        true
     }
 
-    /// Whether a name was recorded within the retention time before `now`, in milliseconds.
-    pub fn contains(&mut self, now: f64, name: &Arc<str>) -> bool {
+    /// Time at which a name was recorded, in milliseconds, if that is within the retention time before `now`.
+    pub fn arrived_at(&mut self, now: f64, name: &Arc<str>) -> Option<f64> {
         self.drop_old(now);
-        self.names.contains(name)
+        self.names.get(name).copied()
     }
 
     /// Number of names that are remembered.
--- a/tests/rejections.rs
+++ b/tests/rejections.rs
@@ -83,6 +83,19 @@
     }
 }
 
+// Guards against a repeated load whose key the engines have forgotten: a repeat is harmless only within the window.
+#[test]
+fn a_request_with_a_key_is_not_rejected_once_its_window_has_passed() {
+    let class = r#""Repeat":"token","KeyScope":"all","Window":2000,"#;
+    let mut stage = stage_with(class);
+    stage.go(&format!("c1 send {}\nw expect want c1-1 *", load(1, "c1-1", 20)));
+    stage.go(&format!("c2 send {}\nc2 expect 2 {REJECTED}", load(2, "c1-1", 20)));
+    stage.go("clock wait 1900");
+    stage.go(&format!("c2 send {}\nc2 expect 3 {FAILED}", load(3, "c1-1", 20)));
+    stage.node.begin_shutdown();
+    expect_within_shutdown(&mut stage, 1, FAILED, class);
+}
+
 // Guards against the opposite fault: a request that certainly never ran is rejected, so that its client sends it again.
 #[test]
 fn a_request_that_never_ran_is_rejected_whatever_its_class() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -15,6 +15,9 @@
 /// How late after its deadline an answer may be sent, in milliseconds.
 const ANSWER_GRACE_MS: u64 = 20;
 
+/// Time for which engines drop a repeated request of a class that repeats by key.
+const KEYED_WINDOW: Micros = Micros::from_millis(2000);
+
 struct AttemptRecord {
     engine: EngineId,
     sent: Micros,
@@ -37,7 +40,7 @@
 fn settings(hedging: bool, budget: bool) -> Settings {
     let mut classes = common::settings().classes;
     classes.truncate(1);
-    let keyed = |group| Repeat::Keyed { group, window: ms(2000) };
+    let keyed = |group| Repeat::Keyed { group, window: KEYED_WINDOW };
     let mut bound = ClassSettings::plain("bound", ms(1000), ms(5000));
     (bound.repeat, bound.kinds) = (keyed(RepeatGroup::Zone), Some(vec!["std".into()]));
     let mut once = ClassSettings::plain("once", ms(1000), ms(5000));
@@ -102,10 +105,11 @@
         assert!(r.answered_at.is_none(), "the request was answered twice");
         r.answered_at = Some(now);
         assert!(now <= r.deadline.plus(ms(ANSWER_GRACE_MS)), "answered after the deadline and its grace");
-        let ran = r.attempts.iter().any(|t| t.end.is_none_or(|(o, _)| !o.never_ran()));
-        if refused && ran {
+        let first = r.attempts.iter().find(|t| t.end.is_none_or(|(o, _)| !o.never_ran()));
+        if let Some(first) = first.filter(|_| refused) {
+            let window_is_open = now.since(first.sent) < KEYED_WINDOW;
             assert!(
-                r.class == 0 || r.class == 3,
+                r.class == 0 || (r.class == 3 && window_is_open),
                 "rejected a request that may have run, so a client retry could run it twice"
             );
         }
@@ -141,7 +145,7 @@
                 _ => {}
             }
             if r.class == 1 || r.class == 3 {
-                assert!(now.since(ran.sent) <= ms(2000), "keyed retry after its window");
+                assert!(now.since(ran.sent) <= KEYED_WINDOW, "keyed retry after its window");
             }
         }
         if let (3, Some(key)) = (r.class, &r.key) {
