JSON-RPC front: clients and their disconnects have files of their own

Change: the client's state is moved to client.rs; time-outs, eviction, limits on memory and the close at a shutdown are moved to disconnect.rs, unchanged.

--- /dev/null
+++ b/src/node/front/jsonrpc/client.rs
@@ -0,0 +1,46 @@
+//! A client connection of the JSON-RPC front and what it is owed.
+
+use super::*;
+
+/// A client connection.
+pub(super) struct Client {
+    pub(super) link: BufferedSocket,
+    /// Ids of the requests that are owed a response.
+    pub(super) open_ids: HashSet<u64>,
+    /// Whether the client has closed its write side; its requests are withdrawn then.
+    pub(super) read_closed: bool,
+    /// Whether the client has sent a valid request, cancel or `alive` call.
+    pub(super) is_active: bool,
+    /// Time of the last response, or of the connect, in milliseconds.
+    pub(super) idle_since: f64,
+    /// Time at which the first bytes of an incomplete message were read.
+    pub(super) partial_since: Option<f64>,
+    pub(super) timer: Option<TimerHandle>,
+}
+
+impl Client {
+    pub(super) fn buffered(&self) -> usize {
+        self.link.unsent_bytes() + self.link.input.capacity()
+    }
+
+    /// Whether the client is owed no response and has no unread or incomplete message.
+    pub(super) fn is_idle(&self) -> bool {
+        let link = &self.link;
+        self.open_ids.is_empty()
+            && link.unsent_bytes() == 0
+            && link.input.is_empty()
+            && !link.read_limit_reached()
+    }
+
+    /// Rank for disconnecting clients when connections run out, lowest first. `None` for clients that must stay: a
+    /// request is open, a message is incomplete, or a response is not written yet.
+    pub(super) fn eviction_rank(&self, now: f64) -> Option<u8> {
+        match () {
+            () if !self.open_ids.is_empty() || (self.is_active && self.partial_since.is_some()) => None,
+            () if !self.is_active && now - self.idle_since > NEW_CLIENT_MS => Some(1),
+            () if self.is_active && self.link.unsent_bytes() == 0 => Some(2),
+            () if !self.is_active => Some(3),
+            () => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/node/front/jsonrpc/disconnect.rs
@@ -0,0 +1,100 @@
+//! Ends of client connections: time-outs, eviction, limits on memory, and the graceful shutdown.
+
+use super::*;
+
+impl JsonRpc {
+    /// Disconnects the client with the lowest eviction rank and, among equals, the one idle for longest. Returns
+    /// `false` if all clients must stay.
+    pub fn make_room(&mut self, sent_at: f64, context: &mut BackendContext) -> bool {
+        loop {
+            let rank = |(key, c): (_, &Client)| Some((c.eviction_rank(context.now)?, c.idle_since, key));
+            let candidates = self.clients.iter().filter_map(rank);
+            let first = candidates.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+            let Some((eviction_rank, _, key)) = first else { return false };
+            // The client may have sent a request since the poll.
+            self.ready(key, false, sent_at, context);
+            match self.clients.get(key) {
+                None => return true,
+                Some(client) if client.eviction_rank(context.now) == Some(eviction_rank) => {
+                    self.close(key, context);
+                    return true;
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Handles a client's timer: disconnects it if it has not sent a first request or completed a message in time.
+    pub fn timed_out(&mut self, key: SlotKey, context: &mut BackendContext) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.timer = None;
+        match client.partial_since {
+            Some(_) => self.reject_client(key, INVALID, "the message did not come whole in time", context),
+            None if !client.is_active => self.close_gracefully(key, context),
+            None => {}
+        }
+    }
+
+    /// Sends an error to a client and disconnects it.
+    pub(super) fn reject_client(
+        &mut self,
+        key: SlotKey,
+        kind: (i32, &'static str),
+        reason: &'static str,
+        context: &mut BackendContext,
+    ) {
+        self.send_error(key, (None, kind, reason), context);
+        self.close_gracefully(key, context);
+    }
+
+    /// Withdraws a client's requests and closes its connection once the client had time to read pending responses.
+    pub(super) fn close_gracefully(&mut self, key: SlotKey, context: &mut BackendContext) {
+        if let Some(client) = self.remove(key, context) {
+            context.closing.add(client.link, context.now, context.registry, context.timers);
+        }
+    }
+
+    /// Withdraws a client's requests and closes its connection at once.
+    pub(super) fn close(&mut self, key: SlotKey, context: &mut BackendContext) {
+        drop(self.remove(key, context));
+    }
+
+    pub(super) fn remove(&mut self, key: SlotKey, context: &mut BackendContext) -> Option<Client> {
+        self.withdraw_requests(key, context);
+        let mut client = self.clients.remove(key)?;
+        client.timer.take().into_iter().for_each(|timer| context.timers.cancel(timer));
+        Some(client)
+    }
+
+    /// Withdraws the open requests of a client that has disconnected or closed its write side.
+    pub(super) fn withdraw_requests(&mut self, key: SlotKey, context: &mut BackendContext) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let mut ids: Vec<u64> = std::mem::take(&mut client.open_ids).into_iter().collect();
+        ids.sort_unstable();
+        for id in ids {
+            cancel_request(ClientHandle { front: Front::JsonRpc, conn: key, id }, context.events);
+        }
+    }
+
+    /// Disconnects the client with the most buffered bytes if all buffers together exceed the limit. This bounds
+    /// memory against many clients that don't read their responses or never complete a message.
+    pub(super) fn enforce_total(&mut self, context: &mut BackendContext) {
+        let (total, heaviest_client) =
+            memory_use_and_largest(self.clients.iter().map(|(key, c)| (c.buffered(), key)));
+        if let Some(key) = heaviest_client.filter(|_| total > self.max_total) {
+            context.log.push(format!("slow client: closed, bytes={total}"));
+            self.close(key, context);
+        }
+    }
+
+    /// Closes the idle connections; used in a graceful shutdown.
+    pub fn close_idle(&mut self, context: &mut BackendContext) {
+        for key in self.clients.keys() {
+            // Requests that arrived since the poll are read first, as a close would lose them.
+            self.ready(key, false, context.now, context);
+            if self.clients.get(key).is_some_and(Client::is_idle) {
+                self.close_gracefully(key, context);
+            }
+        }
+    }
+}
--- a/src/node/front/jsonrpc/mod.rs
+++ b/src/node/front/jsonrpc/mod.rs
@@ -1,5 +1,7 @@
 //! The JSON-RPC front: JSON-RPC 2.0 messages, each with a `Content-Length` header.
 
+mod client;
+mod disconnect;
 mod framing;
 pub mod key_pacing;
 mod message;
@@ -14,6 +16,7 @@
 use crate::node::timer_queue::{TimerEvent, TimerHandle};
 use crate::{ClassId, Settings};
 use base64::prelude::{Engine as _, BASE64_STANDARD};
+use client::Client;
 use framing::{split_frame, Frame};
 use key_pacing::KeyPacing;
 use message::*;
@@ -61,48 +64,6 @@
 /// Most log lines about bad messages per second. Further bad messages are only counted.
 const MAX_LOG_LINES: u32 = 20;
 
-struct Client {
-    link: BufferedSocket,
-    /// Ids of the requests that are owed a response.
-    open_ids: HashSet<u64>,
-    /// Whether the client has closed its write side; its requests are withdrawn then.
-    read_closed: bool,
-    /// Whether the client has sent a valid request, cancel or `alive` call.
-    is_active: bool,
-    /// Time of the last response, or of the connect, in milliseconds.
-    idle_since: f64,
-    /// Time at which the first bytes of an incomplete message were read.
-    partial_since: Option<f64>,
-    timer: Option<TimerHandle>,
-}
-
-impl Client {
-    fn buffered(&self) -> usize {
-        self.link.unsent_bytes() + self.link.input.capacity()
-    }
-
-    /// Whether the client is owed no response and has no unread or incomplete message.
-    fn is_idle(&self) -> bool {
-        let link = &self.link;
-        self.open_ids.is_empty()
-            && link.unsent_bytes() == 0
-            && link.input.is_empty()
-            && !link.read_limit_reached()
-    }
-
-    /// Rank for disconnecting clients when connections run out, lowest first. `None` for clients that must stay: a
-    /// request is open, a message is incomplete, or a response is not written yet.
-    fn eviction_rank(&self, now: f64) -> Option<u8> {
-        match () {
-            () if !self.open_ids.is_empty() || (self.is_active && self.partial_since.is_some()) => None,
-            () if !self.is_active && now - self.idle_since > NEW_CLIENT_MS => Some(1),
-            () if self.is_active && self.link.unsent_bytes() == 0 => Some(2),
-            () if !self.is_active => Some(3),
-            () => None,
-        }
-    }
-}
-
 /// The JSON-RPC front with its clients.
 pub struct JsonRpc {
     clients: Slab<Client>,
@@ -181,27 +142,6 @@
         }
     }
 
-    /// Disconnects the client with the lowest eviction rank and, among equals, the one idle for longest. Returns
-    /// `false` if all clients must stay.
-    pub fn make_room(&mut self, sent_at: f64, context: &mut BackendContext) -> bool {
-        loop {
-            let rank = |(key, c): (_, &Client)| Some((c.eviction_rank(context.now)?, c.idle_since, key));
-            let candidates = self.clients.iter().filter_map(rank);
-            let first = candidates.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-            let Some((eviction_rank, _, key)) = first else { return false };
-            // The client may have sent a request since the poll.
-            self.ready(key, false, sent_at, context);
-            match self.clients.get(key) {
-                None => return true,
-                Some(client) if client.eviction_rank(context.now) == Some(eviction_rank) => {
-                    self.close(key, context);
-                    return true;
-                }
-                Some(_) => {}
-            }
-        }
-    }
-
     /// Removes and returns the clients with input left to read, which get no further event from the poll.
     pub fn take_unread(&mut self) -> Vec<SlotKey> {
         std::mem::take(&mut self.unread)
@@ -288,58 +228,6 @@
         }
     }
 
-    /// Handles a client's timer: disconnects it if it has not sent a first request or completed a message in time.
-    pub fn timed_out(&mut self, key: SlotKey, context: &mut BackendContext) {
-        let Some(client) = self.clients.get_mut(key) else { return };
-        client.timer = None;
-        match client.partial_since {
-            Some(_) => self.reject_client(key, INVALID, "the message did not come whole in time", context),
-            None if !client.is_active => self.close_gracefully(key, context),
-            None => {}
-        }
-    }
-
-    /// Sends an error to a client and disconnects it.
-    fn reject_client(
-        &mut self,
-        key: SlotKey,
-        kind: (i32, &'static str),
-        reason: &'static str,
-        context: &mut BackendContext,
-    ) {
-        self.send_error(key, (None, kind, reason), context);
-        self.close_gracefully(key, context);
-    }
-
-    /// Withdraws a client's requests and closes its connection once the client had time to read pending responses.
-    fn close_gracefully(&mut self, key: SlotKey, context: &mut BackendContext) {
-        if let Some(client) = self.remove(key, context) {
-            context.closing.add(client.link, context.now, context.registry, context.timers);
-        }
-    }
-
-    /// Withdraws a client's requests and closes its connection at once.
-    fn close(&mut self, key: SlotKey, context: &mut BackendContext) {
-        drop(self.remove(key, context));
-    }
-
-    fn remove(&mut self, key: SlotKey, context: &mut BackendContext) -> Option<Client> {
-        self.withdraw_requests(key, context);
-        let mut client = self.clients.remove(key)?;
-        client.timer.take().into_iter().for_each(|timer| context.timers.cancel(timer));
-        Some(client)
-    }
-
-    /// Withdraws the open requests of a client that has disconnected or closed its write side.
-    fn withdraw_requests(&mut self, key: SlotKey, context: &mut BackendContext) {
-        let Some(client) = self.clients.get_mut(key) else { return };
-        let mut ids: Vec<u64> = std::mem::take(&mut client.open_ids).into_iter().collect();
-        ids.sort_unstable();
-        for id in ids {
-            cancel_request(ClientHandle { front: Front::JsonRpc, conn: key, id }, context.events);
-        }
-    }
-
     /// Writes a response, if its client is still connected and has not cancelled the request.
     pub fn respond(&mut self, handle: ClientHandle, response: &FinalResponse, context: &mut BackendContext) {
         let Some(client) = self.clients.get_mut(handle.conn) else { return };
@@ -368,28 +256,6 @@
         self.flush_or_close(handle.conn, context);
         self.enforce_total(context);
     }
-
-    /// Disconnects the client with the most buffered bytes if all buffers together exceed the limit. This bounds
-    /// memory against many clients that don't read their responses or never complete a message.
-    fn enforce_total(&mut self, context: &mut BackendContext) {
-        let (total, heaviest_client) =
-            memory_use_and_largest(self.clients.iter().map(|(key, c)| (c.buffered(), key)));
-        if let Some(key) = heaviest_client.filter(|_| total > self.max_total) {
-            context.log.push(format!("slow client: closed, bytes={total}"));
-            self.close(key, context);
-        }
-    }
-
-    /// Closes the idle connections; used in a graceful shutdown.
-    pub fn close_idle(&mut self, context: &mut BackendContext) {
-        for key in self.clients.keys() {
-            // Requests that arrived since the poll are read first, as a close would lose them.
-            self.ready(key, false, context.now, context);
-            if self.clients.get(key).is_some_and(Client::is_idle) {
-                self.close_gracefully(key, context);
-            }
-        }
-    }
 }
 
 /// Queues a JSON text with its header for writing.
