JSON-RPC front: keep a connection on which responses are owed, whatever its input does

Cause: an incomplete message has 2 s, and timed_out closed the connection after them with no look at the requests that are open on it. So did an unreadable frame, and the limit on the memory of all clients.

Change: the time of an incomplete message counts from the later of its first byte and the last response; behind an unreadable message the input is dropped and the connection closed once nothing is owed; over the memory limit an incomplete message is given up before a connection that is owed a response.

--- a/src/node/front/jsonrpc/client.rs
+++ b/src/node/front/jsonrpc/client.rs
@@ -16,6 +16,9 @@
     /// Time at which the first bytes of an incomplete message were read.
     pub(super) partial_since: Option<f64>,
     pub(super) timer: Option<TimerHandle>,
+    /// Whether further input is dropped, because a message could not be read or was given up. The connection is closed
+    /// once no response is owed.
+    pub(super) ignores_input: bool,
 }
 
 impl Client {
@@ -23,6 +26,25 @@
         self.link.unsent_bytes() + self.link.input.capacity()
     }
 
+    /// Whether most of the client's buffered bytes are those of an incomplete message.
+    pub(super) fn is_mostly_input(&self) -> bool {
+        self.link.input.capacity() > self.link.unsent_bytes()
+    }
+
+    /// Time in milliseconds at which an incomplete message that began at `partial_since` is given up: counted from its
+    /// first byte or from the last response, as the front closes no connection on which a request is open.
+    pub(super) fn message_due(&self, partial_since: f64) -> f64 {
+        let first_message_due =
+            if self.is_active { f64::INFINITY } else { self.idle_since + FIRST_MESSAGE_TIMEOUT_MS };
+        first_message_due.min(partial_since.max(self.idle_since) + MESSAGE_TIMEOUT_MS)
+    }
+
+    /// Schedules the client's timer, replacing any that is scheduled.
+    pub(super) fn schedule_timer(&mut self, at: f64, key: SlotKey, timers: &mut TimerQueue) {
+        self.timer.take().into_iter().for_each(|before| timers.cancel(before));
+        self.timer = Some(timers.set(at, TimerEvent::JsonRpcClient(key)));
+    }
+
     /// Whether the client is owed no response and has no unread or incomplete message.
     pub(super) fn is_idle(&self) -> bool {
         let link = &self.link;
--- a/src/node/front/jsonrpc/disconnect.rs
+++ b/src/node/front/jsonrpc/disconnect.rs
@@ -29,13 +29,14 @@
         let Some(client) = self.clients.get_mut(key) else { return };
         client.timer = None;
         match client.partial_since {
+            Some(_) if !client.open_ids.is_empty() => {} // The last response schedules the timer again.
             Some(_) => self.reject_client(key, INVALID, "the message did not come whole in time", context),
             None if !client.is_active => self.close_gracefully(key, context),
             None => {}
         }
     }
 
-    /// Sends an error to a client and disconnects it.
+    /// Sends an error to a client whose input can't be read any further, and disconnects it once no response is owed.
     pub(super) fn reject_client(
         &mut self,
         key: SlotKey,
@@ -44,7 +45,28 @@
         context: &mut BackendContext,
     ) {
         self.send_error(key, (None, kind, reason), context);
-        self.close_gracefully(key, context);
+        let Some(client) = self.clients.get_mut(key) else { return };
+        if client.open_ids.is_empty() {
+            return self.close_gracefully(key, context);
+        }
+        client.ignores_input = true;
+        client.partial_since = None;
+        client.link.input = Vec::new();
+        self.flush_or_close(key, context);
+    }
+
+    /// Drops the input of a client whose input is ignored. Reading it keeps a client that writes before it reads from
+    /// blocking, and shows when it has closed its side.
+    pub(super) fn drop_input(&mut self, key: SlotKey, is_broken: bool, context: &mut BackendContext) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.link.input = Vec::new();
+        if is_broken {
+            return self.close(key, context);
+        }
+        if client.link.read_limit_reached() && !client.read_closed {
+            self.unread.push(key);
+        }
+        self.flush_or_close(key, context);
     }
 
     /// Withdraws a client's requests and closes its connection once the client had time to read pending responses.
@@ -76,12 +98,18 @@
         }
     }
 
-    /// Disconnects the client with the most buffered bytes if all buffers together exceed the limit. This bounds
-    /// memory against many clients that don't read their responses or never complete a message.
+    /// Frees the buffers of the client with the most buffered bytes if all buffers together exceed the limit. This
+    /// bounds memory against many clients that don't read their responses or never complete a message. A client that
+    /// is owed responses loses only its incomplete message; one that does not read them is disconnected.
     pub(super) fn enforce_total(&mut self, context: &mut BackendContext) {
         let (total, heaviest_client) =
             memory_use_and_largest(self.clients.iter().map(|(key, c)| (c.buffered(), key)));
-        if let Some(key) = heaviest_client.filter(|_| total > self.max_total) {
+        let Some(key) = heaviest_client.filter(|_| total > self.max_total) else { return };
+        let is_owed = |client: &Client| !client.open_ids.is_empty() && client.is_mostly_input();
+        if self.clients.get(key).is_some_and(is_owed) {
+            context.log.push(format!("slow client: message given up, bytes={total}"));
+            self.reject_client(key, INVALID, "the message uses too much memory", context);
+        } else {
             context.log.push(format!("slow client: closed, bytes={total}"));
             self.close(key, context);
         }
--- a/src/node/front/jsonrpc/mod.rs
+++ b/src/node/front/jsonrpc/mod.rs
@@ -13,7 +13,7 @@
 use crate::node::reactor::{memory_use_and_largest, BufferedSocket, ReadStatus, SocketOwner};
 use crate::node::slab::{Slab, SlotKey};
 use crate::node::table_group;
-use crate::node::timer_queue::{TimerEvent, TimerHandle};
+use crate::node::timer_queue::{TimerEvent, TimerHandle, TimerQueue};
 use crate::{ClassId, Settings};
 use base64::prelude::{Engine as _, BASE64_STANDARD};
 use client::Client;
@@ -126,13 +126,13 @@
             idle_since: context.now,
             partial_since: None,
             timer: None,
+            ignores_input: false,
         };
         let key = self.clients.insert(client);
         let Some(client) = self.clients.get_mut(key) else { return };
         match client.link.register(context.registry, SocketOwner::JsonRpc(key)) {
             Ok(()) => {
-                let due = context.now + FIRST_MESSAGE_TIMEOUT_MS;
-                client.timer = Some(context.timers.set(due, TimerEvent::JsonRpcClient(key)));
+                client.schedule_timer(context.now + FIRST_MESSAGE_TIMEOUT_MS, key, context.timers);
                 self.ready(key, false, sent_at, context);
             }
             Err(e) => {
@@ -169,6 +169,9 @@
         let max_input = (client.link.input.len() + BYTES_PER_TURN).min(MAX_HEADER_BYTES + self.max_message);
         let end = client.link.read(max_input);
         client.read_closed |= matches!(end, Ok(ReadStatus::Closed));
+        if client.ignores_input {
+            return self.drop_input(key, end.is_err(), context);
+        }
         let input = std::mem::take(&mut client.link.input);
         let (mut used, mut messages) = (0, 0);
         let framing = loop {
@@ -197,14 +200,7 @@
                 client.partial_since =
                     client.partial_since.filter(|_| partial && used == 0).or(partial.then_some(context.now));
                 if let Some(partial_since) = client.partial_since {
-                    let first_due = if client.is_active {
-                        f64::INFINITY
-                    } else {
-                        client.idle_since + FIRST_MESSAGE_TIMEOUT_MS
-                    };
-                    client.timer.take().into_iter().for_each(|timer| context.timers.cancel(timer));
-                    let due = first_due.min(partial_since + MESSAGE_TIMEOUT_MS);
-                    client.timer = Some(context.timers.set(due, TimerEvent::JsonRpcClient(key)));
+                    client.schedule_timer(client.message_due(partial_since), key, context.timers);
                 }
                 if end == ReadStatus::Open && client.link.read_limit_reached() {
                     self.unread.push(key);
@@ -253,7 +249,14 @@
         };
         put(&mut client.link, &text);
         client.idle_since = context.now;
-        self.flush_or_close(handle.conn, context);
+        if let Some(partial_since) = client.partial_since {
+            client.schedule_timer(client.message_due(partial_since), handle.conn, context.timers);
+        }
+        if client.ignores_input && client.open_ids.is_empty() {
+            self.close_gracefully(handle.conn, context);
+        } else {
+            self.flush_or_close(handle.conn, context);
+        }
         self.enforce_total(context);
     }
 }
