--- a/crates/protocol-models/src/leases/steps.rs
+++ b/crates/protocol-models/src/leases/steps.rs
@@ -108,7 +108,7 @@
     }
 
     fn redefine(&self, world: &mut World) {
-        let lease_ms = if world.redefinitions % 2 == 0 { SHORT_LEASE_MS } else { LEASE_MS };
+        let lease_ms = if world.redefinitions.is_multiple_of(2) { SHORT_LEASE_MS } else { LEASE_MS };
         world.redefinitions += 1;
         world.state.apply(&self.define_tasks(lease_ms));
     }
