Consensus: a leader appends a repeated command once at a time

Cause: the state machine issues a command on each tick (25 ms) and members repeat theirs with each poll until the command is applied. Each repetition was appended to the log with an fsync of its own. With 25 ms or more an fsync the leader fell behind its own repetitions, sent no heartbeats, and lost its office: entries 2 to 57 of one log were the same command. Followers had 300 ms for a vote, fsync included.

Change: a repeated command is skipped while an equal one waits for its commit (proposals.rs); operators' commands are issued once and always proposed.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -45,7 +45,7 @@
 //!     }
 //!     fn set_leadership(&mut self, _now: f64, _is_leader: bool) {}
 //!     fn handle_request(&mut self, _now: f64, request: &[u8]) -> HandledRequest {
-//!         HandledRequest { response: vec![self.0], commands: vec![request.to_vec()] }
+//!         HandledRequest { response: vec![self.0], commands: vec![request.to_vec()], sender_repeats: false }
 //!     }
 //!     fn tick(&mut self, _now: f64) -> Vec<Vec<u8>> {
 //!         Vec::new()
--- a/crates/consensus/src/node/confirmed_requests.rs
+++ b/crates/consensus/src/node/confirmed_requests.rs
@@ -3,9 +3,9 @@
 //! All requests that are waiting share one confirmation. This makes responses linearizable; see Ongaro, "Consensus:
 //! Bridging Theory and Practice" (2014), section 6.4, on linearizable reads with a read index.
 
+use super::proposals::Repetition;
 use super::{Shared, WaitingRequest};
 use crate::connection::PeerResponse;
-use crate::log_entry::Command;
 use crate::mutex::lock;
 use crate::raft::Raft;
 use crate::settings::slot_of;
@@ -18,8 +18,6 @@
 
 /// Time limit for a majority of voters to confirm this voter as leader.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time limit for the commit of one command.
-const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The error of a voter that is not the leader, or that no majority confirmed as leader in time.
 struct NotLeader {
@@ -51,10 +49,16 @@
     }
 
     fn handle_batch(&self, raft: &Raft, batch: Vec<WaitingRequest>) {
+        let proposals = lock(&self.voter).proposals.clone();
         for request in batch {
             let now = self.now();
             let handled = lock(&self.state_machine).handle_request(now, &request.body);
-            self.spawn_commits(raft, handled.commands);
+            let repetition = if handled.sender_repeats {
+                Repetition::UntilApplied
+            } else {
+                Repetition::Once
+            };
+            proposals.propose(raft, handled.commands, repetition);
             let response = PeerResponse::StateMachine(handled.response);
             let _ = request.respond.send(response); // The receiver is dropped if its connection closed.
         }
@@ -84,18 +88,4 @@
             _ => Err(NotLeader { other: None }),
         }
     }
-
-    /// Proposes commands to openraft without waiting for their commit.
-    ///
-    /// A command can be lost if the leader fails before the commit. There is no retry here: the state machine or a
-    /// member must issue the command again.
-    pub(super) fn spawn_commits(&self, raft: &Raft, commands: Vec<Vec<u8>>) {
-        for command in commands {
-            let raft = raft.clone();
-            tokio::spawn(async move {
-                let write = raft.client_write(Command(command));
-                let _ = timeout(COMMIT_TIMEOUT, write).await;
-            });
-        }
-    }
 }
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -3,6 +3,7 @@
 //! - `voter`: opens the disk, runs openraft, and restarts both after a disk failure.
 //! - `peer_requests`: responds to the requests of other members.
 //! - `confirmed_requests`: handles requests to the state machine after a majority has confirmed the leader.
+//! - `proposals`: proposes commands, each of them once at a time.
 //! - `membership`: bootstraps the fleet, and readmits and removes voters.
 //! - [`LeaderClient`]: sends requests to the leader.
 
@@ -13,11 +14,13 @@
 mod leader_client;
 mod membership;
 mod peer_requests;
+mod proposals;
 mod voter;
 
 pub use error::{RequestError, VoterRequestError};
 pub use leader_client::LeaderClient;
 
+use self::proposals::Proposals;
 use crate::connection::client::{Connection, TrafficCounters};
 use crate::connection::{server, Handshake, PeerResponse, VoterStatus};
 use crate::disk::SharedDisk;
@@ -96,6 +99,8 @@
     store: Option<SharedStore>,
     raft: Option<Raft>,
     pre_vote: Option<PreVote>,
+    /// The commands that `raft` has been given.
+    proposals: Proposals,
     cluster_id: Option<u64>,
     /// The disk's state as shown to the operator: `good`, the text of the last error, or empty before the first open.
     disk: String,
--- a/crates/consensus/src/node/voter.rs
+++ b/crates/consensus/src/node/voter.rs
@@ -1,6 +1,7 @@
 //! Runs a voter: opens its disk, runs openraft, and starts elections when the pre-vote permits.
 
 use super::error::VoterError;
+use super::proposals::{Proposals, Repetition};
 use super::{log_end, Shared};
 use crate::connection::{Handshake, PeerRequest, PeerResponse};
 use crate::disk::SharedDisk;
@@ -37,8 +38,10 @@
 const SNAPSHOT_CHUNK_BYTES: u64 = 256 * 1024;
 /// Minimum and maximum of openraft's own election timeout, in milliseconds.
 ///
-/// The timeout only bounds waits inside openraft, because elections are started by the pre-vote.
-const RAFT_ELECTION_TIMEOUT_MS: (u64, u64) = (300, 500);
+/// Elections are started by the pre-vote. In openraft the minimum is the time limit for another voter to vote, which
+/// includes an fsync, and the maximum is the time after a heartbeat in which a voter gives its vote to no other.
+const RAFT_ELECTION_TIMEOUT_MS: (u64, u64) =
+    (LEADER_TIMEOUT_MS as u64 - 1, LEADER_TIMEOUT_MS as u64);
 
 /// Text for a healthy disk in the status that operators see.
 const HEALTHY_DISK_TEXT: &str = "good";
@@ -168,7 +171,12 @@
         let applied = AppliedState::open(store.clone(), self.state_machine.clone())?;
         let log = LogStorage(store.clone());
         let raft = Raft::new(identity.node_id, config, network, log, applied).await?;
-        lock(&self.voter).raft = Some(raft.clone());
+        {
+            let mut voter = lock(&self.voter);
+            voter.raft = Some(raft.clone());
+            // The commands of an earlier instance may never end, if that instance hangs on a broken disk.
+            voter.proposals = Proposals::default();
+        }
         let (pre_vote_sender, pre_votes) = mpsc::channel(MAX_QUEUED_PRE_VOTES);
         Ok(RunningVoter {
             raft,
@@ -250,7 +258,8 @@
             self.heartbeat_received(now);
         }
         let commands = lock(&self.state_machine).tick(now);
-        self.spawn_commits(raft, commands);
+        let proposals = lock(&self.voter).proposals.clone();
+        proposals.propose(raft, commands, Repetition::UntilApplied);
     }
 
     /// Records a heartbeat in the pre-vote state, which restarts the election timeout.
--- a/crates/consensus/src/state_machine.rs
+++ b/crates/consensus/src/state_machine.rs
@@ -22,6 +22,9 @@
     pub response: Vec<u8>,
     /// Commands that the leader appends to the log. The response is sent without waiting for their commit.
     pub commands: Vec<Vec<u8>>,
+    /// Whether the sender repeats the request until its commands have taken effect. The leader then skips a command
+    /// while an equal one waits for its commit.
+    pub sender_repeats: bool,
 }
 
 /// A replicated state machine: applies committed commands at every voter, and handles requests at the leader.
@@ -45,5 +48,8 @@
     /// Handles a request at the leader, after a majority of voters has confirmed its leadership.
     fn handle_request(&mut self, now: f64, request: &[u8]) -> HandledRequest;
     /// Called periodically at the leader. Returns commands that the leader appends to the log.
+    ///
+    /// A command must be returned again on each call until it is applied. The leader skips it while an equal one waits
+    /// for its commit.
     fn tick(&mut self, now: f64) -> Vec<Vec<u8>>;
 }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -51,6 +51,16 @@
     Budgets,
 }
 
+impl FleetRequest {
+    /// Whether this is a member's poll, which the member repeats until it sees the effect of its commands.
+    pub fn is_poll(&self) -> bool {
+        matches!(
+            self,
+            FleetRequest::PollPolicy(..) | FleetRequest::PollPolicyAndTasks(..) | FleetRequest::PollAll(..)
+        )
+    }
+}
+
 /// A response of the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum FleetResponse {
--- a/src/fleet/state_machine.rs
+++ b/src/fleet/state_machine.rs
@@ -303,13 +303,16 @@
     }
 
     fn handle_request(&mut self, now: f64, request: &[u8]) -> HandledRequest {
-        let handled = match decode(request) {
+        let request: Option<FleetRequest> = decode(request);
+        let sender_repeats = request.as_ref().is_some_and(FleetRequest::is_poll);
+        let handled = match request {
             Some(request) => self.handle(now, request),
             None => Handled::response(FleetResponse::Unreadable),
         };
         HandledRequest {
             response: encode(&handled.response),
             commands: handled.commands.iter().map(LogCommand::encode).collect(),
+            sender_repeats,
         }
     }
 
--- a/tests/fleet_slow_disk.rs
+++ b/tests/fleet_slow_disk.rs
@@ -5,6 +5,9 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+/// How long a test waits for a condition before it fails.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Starts a fleet whose voters take longer for an fsync: the first voter the first delay, later ones the last.
 fn fleet_with_slow_disks(name: &str, fsync_delays_ms: &[u64]) -> Case {
     let trials = fsync_delays_ms.iter().map(|delay| format!("fsync={delay}")).collect();
@@ -27,6 +30,20 @@
     unreachable.filter_map(|voter| voter["seat"].as_u64()).collect()
 }
 
+/// Every disk takes 100 ms for an fsync, as on a machine whose disk others keep busy. A leader that appended each
+/// repetition of a command fell behind its disk, sent no heartbeats any more, and no fleet got past its election.
+#[test]
+fn voters_with_slow_disks_elect_a_leader_and_change_the_policy() {
+    let mut world = fleet_with_slow_disks("slow-disks", &[100]);
+    assert_eq!(propose(&world, 0), (0, Some(1)));
+    let leader = world.leader().expect("a leader");
+    world.kill(leader);
+    assert_eq!(propose(&world, 1), (0, Some(2)), "the other two voters elect a leader and commit the change");
+    world.begin(leader).unwrap();
+    world.all_admit(2, TIMEOUT).expect("all members admit requests");
+    world.judge().unwrap_or_else(|e| panic!("{e}"));
+}
+
 /// One disk takes 1.5 s for an fsync. A voter that waits for its disk must still answer: its heartbeats, its status and
 /// new connections stood still for the time of each fsync.
 #[test]
