Discovery: bytes are progress, and a fruitless watch waits longer the next time

Callers saw new work on an engine 12.7 s after its drain, and without end: a watch was given up after 2.3 s without a whole frame, a new one too, so that a server whose first answer or whose list takes longer was never heard. Each attempt made it slower for the others.

Change: bytes that arrive are progress; a watch given up without a frame doubles the next limit, up to 12 s, with jitter. A server that falls silent is given up as soon as before. The frames have a file of their own.

--- a/src/node/discovery.rs
+++ b/src/node/discovery/mod.rs
@@ -1,21 +1,22 @@
 //! Client of the service discovery server, which sends numbered events with changes to the engine list.
 //!
-//! A watch that receives no frame for `SILENCE_TIMEOUT_MS` is closed and reopened; the new watch resumes after the
-//! last revision received. Delays between connection attempts are randomized, because a restart of the discovery
+//! A watch that receives no bytes for its [silence limit](silence) is closed and reopened; the new watch resumes after
+//! the last revision received. Delays between connection attempts are randomized, because a restart of the discovery
 //! server disconnects all front ends at the same time and they would otherwise reconnect in step.
 
-use super::clock::to_micros;
+mod frame;
+mod silence;
+
+pub use frame::{parse_frame, BadFrame, ListEvent, ListedEngine};
+
+use self::frame::MAX_FRAME_BYTES;
+use self::silence::SilenceLimit;
 use super::reactor::{BufferedSocket, ReadStatus, SocketOwner};
 use super::timer_queue::{TimerEvent, TimerHandle, TimerQueue};
 use crate::mix;
-use crate::{EngineEntry, EngineId, EngineState, ListKind};
 use mio::Registry;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::net::SocketAddr;
 
-/// Time without a frame after which a connection counts as dead, in milliseconds. The server sends an empty frame
-/// every second, so a connection is closed after two missing frames.
-const SILENCE_TIMEOUT_MS: f64 = 2300.0;
 /// Delay after the first failed connection attempt, in milliseconds. Short, because changes to the engine list must
 /// reach the front end within seconds.
 const INITIAL_RECONNECT_MS: f64 = 200.0;
@@ -32,97 +33,6 @@
 /// Relative jitter of the delays above: each delay is multiplied by a random factor from `1 - JITTER` to
 /// `1 + JITTER`, so that front ends that start together do not connect together.
 const JITTER: f64 = 0.5;
-/// Size of the record that describes one engine in a frame, in bytes.
-const RECORD_BYTES: usize = 27;
-/// Upper bound of a frame's length field, in bytes: about 150,000 engines. A larger value means that the stream is
-/// no longer aligned to frames.
-const MAX_FRAME_BYTES: usize = 4 << 20;
-
-/// An entry of the engine list together with the engine's address.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ListedEngine {
-    /// The entry as passed to the decision module.
-    pub entry: EngineEntry,
-    /// Address on which the engine accepts connections.
-    pub address: SocketAddr,
-}
-
-/// A change to the engine list, as sent by the discovery server.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ListEvent {
-    /// Revision of the list after this event; increases with every event.
-    pub revision: u64,
-    /// Whether the entries are the complete list, a cached list that may be outdated, or only the changed engines.
-    pub kind: ListKind,
-    /// Engines that the event lists, with their addresses.
-    pub engines: Vec<ListedEngine>,
-}
-
-/// A malformed frame. The stream can't be resynchronized, so its connection must be closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BadFrame;
-
-/// Parses the first frame in `bytes`. Returns the frame's length in bytes and its event, which is `None` for a
-/// keepalive frame. Returns `Ok(None)` while the frame is incomplete.
-///
-/// `zones` and `kinds` are the names that a record refers to by index.
-pub fn parse_frame(
-    bytes: &[u8],
-    zones: &[String],
-    kinds: &[String],
-) -> Result<Option<(usize, Option<ListEvent>)>, BadFrame> {
-    let Some(length) = bytes.first_chunk::<4>().map(|l| u32::from_be_bytes(*l) as usize) else {
-        return Ok(None);
-    };
-    if !(9..=MAX_FRAME_BYTES).contains(&length) {
-        return Err(BadFrame);
-    }
-    let Some(body) = bytes.get(4..4 + length) else { return Ok(None) };
-    let revision = big_endian(&body[..8]);
-    let kind = match body[8] {
-        0 => return Ok(Some((4 + length, None))),
-        1 => ListKind::Full,
-        2 => ListKind::Changes,
-        _ => return Err(BadFrame),
-    };
-    let records = &body[9..];
-    if records.len() % RECORD_BYTES != 0 {
-        return Err(BadFrame);
-    }
-    let records = records.chunks_exact(RECORD_BYTES);
-    let engines = records.map(|record| parse_record(record, zones, kinds)).collect::<Result<Vec<_>, _>>()?;
-    Ok(Some((4 + length, Some(ListEvent { revision, kind, engines }))))
-}
-
-/// Decodes an unsigned big-endian integer of up to eight bytes.
-fn big_endian(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
-}
-
-fn parse_record(r: &[u8], zones: &[String], kinds: &[String]) -> Result<ListedEngine, BadFrame> {
-    let name = |names: &[String], index: u8| names.get(usize::from(index)).cloned().unwrap_or_default();
-    let state = match r[10] {
-        0 => EngineState::Serving,
-        1 => EngineState::Draining,
-        2 => EngineState::Removed,
-        _ => return Err(BadFrame),
-    };
-    let started = big_endian(&r[19..27]);
-    let address = Ipv4Addr::from(big_endian(&r[4..8]) as u32);
-    Ok(ListedEngine {
-        address: SocketAddr::from((address, big_endian(&r[8..10]) as u16)),
-        entry: EngineEntry {
-            engine: EngineId(Arc::from(format!("s-{:08x}", big_endian(&r[..4])))),
-            zone: name(zones, r[11]),
-            kind: name(kinds, r[12]),
-            cell: big_endian(&r[13..15]),
-            size_hint: big_endian(&r[15..19]) as f64 / 1000.0,
-            started: (started > 0).then(|| to_micros(started as f64)),
-            state,
-        },
-    })
-}
-
 /// Client of the service discovery server: one watch on the engine list, reopened when it fails.
 #[derive(Debug)]
 pub struct DiscoveryClient {
@@ -136,8 +46,9 @@
     subscribed: bool,
     /// Number of the current connection, by which events of earlier sockets are recognized and ignored.
     generation: u32,
-    /// When the current connection was opened, was established or last received a frame, in Unix milliseconds.
-    last_frame_at: f64,
+    /// When the current connection was opened, was established or last received bytes, in Unix milliseconds.
+    last_progress_at: f64,
+    silence_limit: SilenceLimit,
     next_check: Option<TimerHandle>,
     /// Connection attempts since the last success or change of the server's address, at most 16.
     connect_attempts: i32,
@@ -162,7 +73,8 @@
             socket: None,
             subscribed: false,
             generation: 0,
-            last_frame_at: 0.0,
+            last_progress_at: 0.0,
+            silence_limit: SilenceLimit::default(),
             next_check: None,
             connect_attempts: 0,
             random_state: seed,
@@ -171,12 +83,16 @@
 
     /// Handles the check timer: closes a silent watch, connects if no connection exists, and schedules the next check.
     pub fn on_timer(&mut self, now: f64, registry: &Registry, timers: &mut TimerQueue) {
-        if self.socket.is_some() && now - self.last_frame_at > SILENCE_TIMEOUT_MS {
+        if self.socket.is_some() && now - self.last_progress_at > self.silence_limit.milliseconds() {
             self.socket = None;
+            if self.subscribed {
+                let random = self.random();
+                self.silence_limit.watch_given_up(random);
+            }
         }
         if self.socket.is_none() {
             self.generation = self.generation.wrapping_add(1);
-            (self.subscribed, self.last_frame_at) = (false, now);
+            (self.subscribed, self.last_progress_at) = (false, now);
             self.socket = BufferedSocket::connect(self.address)
                 .and_then(|mut socket| {
                     socket.register(registry, SocketOwner::Discovery(self.generation)).map(|()| socket)
@@ -216,6 +132,7 @@
     ) -> Vec<ListEvent> {
         if address != self.address {
             (self.address, self.socket, self.connect_attempts) = (address, None, 0);
+            self.silence_limit = SilenceLimit::default();
             let delay = ADDRESS_CHANGE_SPREAD_MS * self.random();
             self.schedule_check(now, delay, timers);
         }
@@ -252,15 +169,19 @@
                 Some(result) => result.ok()?,
             }
             socket.queue_write(&self.last_revision.to_be_bytes());
-            (self.subscribed, self.last_frame_at, self.connect_attempts) = (true, now, 0);
+            (self.subscribed, self.last_progress_at, self.connect_attempts) = (true, now, 0);
         }
         socket.flush().ok()?;
         let mut received = Vec::new();
         let mut read_frames = || loop {
+            let buffered = socket.input.len();
             let end = socket.read(MAX_FRAME_BYTES + 16);
+            if socket.input.len() > buffered {
+                self.last_progress_at = now;
+            }
             while let Some((length, event)) = parse_frame(&socket.input, &self.zones, &self.kinds).ok()? {
                 socket.consume(length);
-                self.last_frame_at = now;
+                self.silence_limit.frame_received();
                 received.extend(event);
             }
             if !socket.read_limit_reached() {
