Store: an identity that can't be decoded is an error, not none

Cause: Store::identity took bytes that it could not decode for no identity. The voter then waited as a blank one, and `fleet found` or `fleet readmit` wrote a new identity over the old one: two votes in one term were possible.

Change: StoreError::UnreadableIdentity, which names the folder and what to do; nothing is written over it.

Measured: an_identity_that_cannot_be_decoded_is_an_error_and_is_not_replaced failed before and passes.

--- a/crates/consensus/src/store/error.rs
+++ b/crates/consensus/src/store/error.rs
@@ -93,6 +93,12 @@
         /// The identity that the folder has.
         found: VoterIdentity,
     },
+    /// The folder's identity can't be decoded.
+    #[error(
+        "fleet.folder {}: the marker can't be read; move the folder away and run `beamgap fleet readmit`",
+        .0.display()
+    )]
+    UnreadableIdentity(PathBuf),
     /// The disk has no space left.
     #[error(
         "fleet.folder {}: no room ({source}); free some space, the decider then resumes by itself",
--- a/crates/consensus/src/store/mod.rs
+++ b/crates/consensus/src/store/mod.rs
@@ -295,19 +295,21 @@
         tables::read_last_entry(&self.db).map_err(|error| self.error(error))
     }
 
-    /// Returns the voter's identity, or `None` if the folder has no identity that can be decoded.
+    /// Returns the voter's identity, or `None` if the folder has none.
     ///
     /// # Errors
-    /// If the store is broken, or the database can't be read.
+    /// If the identity can't be decoded, the store is broken, or the database can't be read.
     pub fn identity(&self) -> Result<Option<VoterIdentity>, StoreError> {
         let bytes = self.get(IDENTITY_KEY)?;
-        Ok(bytes.and_then(|bytes| postcard::from_bytes(&bytes).ok()))
+        let identity = bytes.map(|bytes| postcard::from_bytes(&bytes)).transpose();
+        identity.map_err(|_| StoreError::UnreadableIdentity(self.folder.clone()))
     }
 
     /// Stores the voter's identity. Does nothing if the folder has the same identity already.
     ///
     /// # Errors
-    /// If the folder has another identity, which is never replaced, or if the store is broken or the disk fails.
+    /// If the folder has another identity, or one that can't be decoded, which are never replaced, or if the store is
+    /// broken or the disk fails.
     pub fn write_identity(&self, identity: &VoterIdentity) -> Result<(), StoreError> {
         let _write_lock = lock(&self.write_lock);
         match self.identity()? {
--- a/crates/consensus/tests/store.rs
+++ b/crates/consensus/tests/store.rs
@@ -277,6 +277,36 @@
 }
 
 // Guards against opening a folder that belongs to another process, voter or format version. Errors must name the cause.
+/// An identity that can't be decoded must not count as none: the voter would get a new one, and might vote twice in a term.
+#[test]
+fn an_identity_that_cannot_be_decoded_is_an_error_and_is_not_replaced() {
+    let folder = folder("unreadable-identity");
+    let disk: SharedDisk = Arc::new(FileDisk);
+    let store = Store::open(&folder, &disk, true).unwrap();
+    let unreadable = vec![0xff; 3];
+    store
+        .write(&Batch {
+            meta: vec![("marker", unreadable.clone())],
+            ..Batch::default()
+        })
+        .unwrap();
+    let identity = VoterIdentity {
+        fleet: "f".to_owned(),
+        cluster_id: 7,
+        node_id: 2,
+    };
+    let results = [
+        store.identity().map(|_| ()),
+        store.write_identity(&identity),
+    ];
+    for result in results {
+        let error = result.unwrap_err().to_string();
+        assert!(error.contains("the marker can't be read"), "{error}");
+    }
+    assert_eq!(store.get("marker").unwrap(), Some(unreadable));
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
 #[test]
 fn a_second_process_another_format_and_another_identity_are_rejected_with_advice() {
     let folder = folder("refused");
