Fleet: a forbidden task stays forbidden under a policy that can't be read

Cause: a policy text that a voter's program can't read, as in a fleet that is being upgraded, counted as one without forbidden tasks, and without a word: the task ran at once.

Change: the tasks that are forbidden stay so, and the voter logs `unreadable policy` with the version and the first problem. Budgets: a leader that can't read them grants no shares, as before; now it says so.

Measured: a_forbidden_task_stays_forbidden_under_a_policy_that_cannot_be_read failed before and passes.

--- a/src/fleet/state_machine.rs
+++ b/src/fleet/state_machine.rs
@@ -14,6 +14,7 @@
 };
 use beamgap_budgets::spec::BudgetSpec;
 use beamgap_budgets::BudgetTimings;
+use beamgap_config::Problem;
 use beamgap_consensus::{HandledRequest, RestoreError, StateMachine};
 use beamgap_leases::{
     ClockBounds, Command as TaskCommand, FencingToken, LeaseLeader, PollRequest as LeasePollRequest,
@@ -72,6 +73,12 @@
     commands: Vec<LogCommand>,
 }
 
+/// Logs that this program can't read the text of a policy version, which a newer program has accepted.
+fn log_unreadable_policy(version: Version, problems: &[Problem]) {
+    let problem = problems.first().map(Problem::to_string).unwrap_or_default();
+    tracing::error!(target: "fleet", version, problem, "unreadable policy: update this program");
+}
+
 fn policy_commands(commands: Vec<PolicyCommand>) -> impl Iterator<Item = LogCommand> {
     commands.into_iter().map(LogCommand::Policy)
 }
@@ -103,20 +110,30 @@
         if self.budgets.version == Some(version) {
             return;
         }
-        let parsed = document::parse(POLICY_FILE, self.policy.policy_text()).ok();
-        let specs = parsed.map(|policy| policy.budgets).unwrap_or_default();
+        // Without the specs of a policy that it can't read, this leader grants no shares of budgets.
+        let specs = match document::parse(POLICY_FILE, self.policy.policy_text()) {
+            Ok(policy) => policy.budgets,
+            Err(problems) => {
+                log_unreadable_policy(version, &problems);
+                Vec::new()
+            }
+        };
         self.budgets = VersionBudgets { version: Some(version), specs };
         let timings = self.policy.timings.unwrap_or(self.initial_timings);
         self.budget_leader.set_timings(BudgetTimings::for_lease(timings.lease_ms, timings.max_drift));
     }
 
     /// Updates which tasks are forbidden, as listed by the active policy.
+    ///
+    /// If this program can't read the policy's text, the tasks that are forbidden stay forbidden.
     fn update_forbidden_tasks(&mut self) {
-        let parsed = document::parse(POLICY_FILE, self.policy.policy_text()).ok();
-        let names = parsed
-            .map(|policy| policy.parsed.policy.forbidden_tasks.into_iter().collect())
-            .unwrap_or_default();
-        self.tasks.apply(&TaskCommand::SetForbidden(names));
+        match document::parse(POLICY_FILE, self.policy.policy_text()) {
+            Ok(policy) => {
+                let names = policy.parsed.policy.forbidden_tasks.into_iter().collect();
+                self.tasks.apply(&TaskCommand::SetForbidden(names));
+            }
+            Err(problems) => log_unreadable_policy(self.policy.version(), &problems),
+        }
     }
 
     fn poll_policy(&mut self, now: f64, request: &PolicyPollRequest) -> Handled {
