--- a/src/node/discovery/mod.rs
+++ b/src/node/discovery/mod.rs
@@ -1,6 +1,6 @@
 //! Client of the service discovery server, which sends numbered events with changes to the engine list.
 //!
-//! A watch that receives no bytes for its [silence limit](silence) is closed and reopened; the new watch resumes after
+//! A watch that receives no bytes for its silence limit is closed and reopened; the new watch resumes after
 //! the last revision received. Delays between connection attempts are randomized, because a restart of the discovery
 //! server disconnects all front ends at the same time and they would otherwise reconnect in step.
 
