MySQL: what an earlier statement has left in its session is refused, not served

Refused with 1235 now: SHOW WARNINGS, SHOW ERRORS, SHOW COUNT(*), GET DIAGNOSTICS, and the system variables that hold such values. Looked for on related paths and mended with it: quoted names of functions and variables, keywords at the end of a conditional comment, and MariaDB's conditional comments passed the check.

--- a/src/node/front/mysql/statement.rs
+++ b/src/node/front/mysql/statement.rs
@@ -4,7 +4,25 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unsupported(pub &'static str);
 
-/// Splits a statement into words and punctuation, in upper case, without strings, quoted names and comments.
+/// The refusal of a statement that reads what the statement before it has left in the session, such as its warnings. A
+/// pooled connection has run statements of other sessions since.
+const EARLIER_STATEMENT: Unsupported = Unsupported("what the statement before has left");
+
+/// Marks a quoted name among the words of a statement, so that it can't be taken for a keyword.
+const QUOTED_NAME: char = '`';
+/// Longest identifier of MySQL, in characters. A longer quoted text is a string, which is cut at this length.
+const MAX_NAME_CHARS: usize = 64;
+
+/// System variables that hold what an earlier statement of the session has left.
+const VARIABLES_OF_EARLIER_STATEMENTS: &[&str] =
+    &["WARNING_COUNT", "ERROR_COUNT", "IDENTITY", "LAST_INSERT_ID", "LAST_GTID", "IN_TRANSACTION"];
+/// Functions that return what an earlier statement of the session has left.
+const FUNCTIONS_OF_EARLIER_STATEMENTS: &[&str] = &["LAST_INSERT_ID", "FOUND_ROWS", "ROW_COUNT"];
+/// Functions that acquire or release a lock that belongs to the session.
+const LOCK_FUNCTIONS: &[&str] = &["GET_LOCK", "RELEASE_LOCK", "RELEASE_ALL_LOCKS"];
+
+/// Splits a statement into words, names and punctuation, in upper case, without strings and comments. A quoted name
+/// begins with a backtick; so does a text in double quotes, which is a name in the SQL mode `ANSI_QUOTES`.
 pub fn words(sql: &[u8]) -> Vec<String> {
     let mut words = Vec::new();
     let mut word = String::new();
@@ -26,18 +44,25 @@
         }
         match (byte, next) {
             // MySQL executes the content of `/*! ... */`, so it is not skipped like a comment.
-            (b'/', Some(b'*')) if sql.get(i + 2) == Some(&b'!') => {
-                let version = sql[i + 3..].iter().take_while(|b| b.is_ascii_digit()).count();
-                i += 3 + version;
+            (b'/', Some(b'*')) if conditional_comment_start(&sql[i..]).is_some() => {
+                let start = conditional_comment_start(&sql[i..]).unwrap_or_default();
+                let version = sql[i + start..].iter().take_while(|b| b.is_ascii_digit()).count();
+                i += start + version;
             }
             (b'/', Some(b'*')) => i = after(b"*/", i + 2),
+            // The end of a conditional comment; `*/` occurs nowhere else outside strings.
+            (b'*', Some(b'/')) => i += 2,
             (b'-', Some(b'-')) if sql.get(i + 2).is_none_or(u8::is_ascii_whitespace) => i = after(b"\n", i),
             (b'#', _) => i = after(b"\n", i),
             (b'\'' | b'"' | b'`', _) => {
-                i += 1;
+                let start = i + 1;
+                i = start;
                 while i < sql.len() && sql[i] != byte {
                     i += if sql[i] == b'\\' && byte != b'`' { 2 } else { 1 };
                 }
+                if byte != b'\'' {
+                    words.push(quoted_name(&sql[start..i.min(sql.len())]));
+                }
                 i += 1; // A doubled quote is handled as the end of one string and the start of the next.
             }
             _ => {
@@ -52,6 +77,28 @@
     words
 }
 
+/// The length of the start of a conditional comment, `/*!` or MariaDB's `/*M!`, whose content the server executes.
+fn conditional_comment_start(sql: &[u8]) -> Option<usize> {
+    match sql {
+        [b'/', b'*', b'!', ..] => Some(3),
+        [b'/', b'*', b'M', b'!', ..] => Some(4),
+        _ => None,
+    }
+}
+
+/// The word that stands for a quoted name.
+fn quoted_name(name: &[u8]) -> String {
+    let mut word = String::from(QUOTED_NAME);
+    let name = name.iter().take(MAX_NAME_CHARS).map(|byte| byte.to_ascii_uppercase() as char);
+    word.extend(name);
+    word
+}
+
+/// The name that a word stands for, quoted or not.
+fn name_of(word: &str) -> &str {
+    word.strip_prefix(QUOTED_NAME).unwrap_or(word)
+}
+
 /// The schema that a plain `USE` statement selects. `None` for other statements, and for `USE` in a conditional comment
 /// or with further words.
 pub fn schema_of_use(sql: &[u8]) -> Option<Vec<u8>> {
@@ -80,7 +127,7 @@
     let mut rest = sql.trim_ascii_start();
     loop {
         let (start, end): (usize, &[u8]) = match rest {
-            [b'/', b'*', b'!', ..] => return rest,
+            [b'/', b'*', ..] if conditional_comment_start(rest).is_some() => return rest,
             [b'/', b'*', ..] => (2, b"*/"),
             [b'#', ..] => (1, b"\n"),
             [b'-', b'-', after, ..] if after.is_ascii_whitespace() => (2, b"\n"),
@@ -113,19 +160,20 @@
         ("LOAD", _) => return Err(Unsupported("LOAD")),
         ("CREATE" | "DROP", "TEMPORARY") => return Err(Unsupported("temporary tables")),
         ("KILL", _) => return Err(Unsupported("KILL")),
+        ("SHOW", "WARNINGS" | "ERRORS") | ("GET", _) => return Err(EARLIER_STATEMENT),
+        ("SHOW", "COUNT") if word(first + 2) == "(" => return Err(EARLIER_STATEMENT),
         _ => {}
     }
-    let pair = |a: &str, b: &str| words.windows(2).any(|w| w[0] == a && w[1] == b);
     // A user variable `@x` is session state; a system variable `@@x` can be read on any engine.
     let at = |i: usize| words.get(i).is_some_and(|w| w == "@");
     if (0..words.len()).any(|i| at(i) && !at(i + 1) && (i == 0 || !at(i - 1))) {
         return Err(Unsupported("user variables"));
     }
-    if pair("GET_LOCK", "(") || pair("RELEASE_LOCK", "(") || pair("RELEASE_ALL_LOCKS", "(") {
+    if calls_one_of(words, LOCK_FUNCTIONS) {
         return Err(Unsupported("named locks"));
     }
-    if pair("LAST_INSERT_ID", "(") || pair("FOUND_ROWS", "(") || pair("ROW_COUNT", "(") {
-        return Err(Unsupported("what the statement before has left"));
+    if calls_one_of(words, FUNCTIONS_OF_EARLIER_STATEMENTS) || reads_variable_of_earlier_statement(words) {
+        return Err(EARLIER_STATEMENT);
     }
     if words.iter().rev().skip_while(|w| *w == ";").any(|w| w == ";") {
         return Err(Unsupported("several statements in one"));
@@ -133,6 +181,26 @@
     Ok(())
 }
 
+/// Whether a statement calls one of these functions.
+fn calls_one_of(words: &[String], functions: &[&str]) -> bool {
+    words.windows(2).any(|pair| pair[1] == "(" && functions.contains(&name_of(&pair[0])))
+}
+
+/// Whether a statement reads a system variable that an earlier statement of the session has set, such as
+/// `@@warning_count` or `@@session.identity`.
+fn reads_variable_of_earlier_statement(words: &[String]) -> bool {
+    words.windows(3).enumerate().any(|(index, start)| {
+        let is_system_variable = start[0] == "@" && start[1] == "@";
+        let is_scope = matches!(name_of(&start[2]), "SESSION" | "LOCAL" | "GLOBAL");
+        let name = match words.get(index + 3) {
+            Some(point) if is_scope && point == "." => words.get(index + 4),
+            _ => Some(&start[2]),
+        };
+        is_system_variable
+            && name.is_some_and(|name| VARIABLES_OF_EARLIER_STATEMENTS.contains(&name_of(name)))
+    })
+}
+
 /// Whether a statement drops a schema.
 pub fn drops_schema(words: &[String]) -> bool {
     match words.iter().position(|word| word != ";").map(|first| &words[first..]) {
--- a/tests/mysql_statements.rs
+++ b/tests/mysql_statements.rs
@@ -60,3 +60,40 @@
         assert!(!is_read_only(&words(sql.as_bytes())), "{sql}");
     }
 }
+
+// Guards against the warnings, errors and generated values of another client's statement: a pooled connection has run
+// statements of other sessions since.
+#[test]
+fn statements_that_read_what_an_earlier_statement_has_left_are_refused() {
+    for sql in [
+        "SHOW WARNINGS",
+        "show warnings limit 5",
+        "/* pool */ show /* x */ errors;",
+        "show count(*) warnings",
+        "/*!50000 show */ warnings",
+        "/*M!100000 show */ warnings",
+        "get diagnostics condition 1 message_text",
+        "get current diagnostics condition 1 message_text",
+        "select @@warning_count",
+        "select @@session.error_count",
+        "select @@SESSION . `warning_count`",
+        "select @@`identity`",
+        "select 1 + @@local.last_insert_id",
+        "select `last_insert_id`()",
+        "select \"ROW_COUNT\" ()",
+        "select `GET_LOCK`('a', 1)",
+    ] {
+        assert!(check_session_independent(&words(sql.as_bytes())).is_err(), "{sql}");
+    }
+    for sql in [
+        "show tables",
+        "show count from t",
+        "select warning_count, identity from `show warnings`",
+        "select '@@warning_count', \"show warnings\"",
+        "insert into errors values ('show errors')",
+        "select @@version_comment",
+        "select `last_insert_id` from t",
+    ] {
+        assert_eq!(check_session_independent(&words(sql.as_bytes())), Ok(()), "{sql}");
+    }
+}
