MySQL front: commands are handled in bounded turns, and only once all input is read

Cause, in `MysqlFront::ready`: each command moved the whole input buffer (up to 1 MB) by its own length, and one call handled all that had arrived; it stopped at 256 kB of output, and where the socket took all of that at once no event ever resumed it; commands ran before the end of the connection, behind unread input, was seen.

A session now reads 64 kB and handles 512 commands per iteration at most, consumes its input once, is scheduled again if it can go on, and runs nothing before its input is read to the end (or 8 MB are buffered, more than both socket buffers usually hold).

--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -20,10 +20,12 @@
     pub fn poll_once(&mut self, max_wait: Duration) -> io::Result<()> {
         let poll_started = self.clock.now();
         let unread_clients = self.jsonrpc.take_unread();
+        let unread_sessions = self.mysql.as_mut().map(|(front, _)| front.take_unread()).unwrap_or_default();
         let unread_closing = self.closing.take_unread();
         let time_to_timer =
             self.timers.next_deadline().map_or(f64::INFINITY, |at| (at - poll_started).max(0.0));
-        let has_unread = !unread_clients.is_empty() || !unread_closing.is_empty();
+        let has_unread =
+            !unread_clients.is_empty() || !unread_sessions.is_empty() || !unread_closing.is_empty();
         let max_wait = if has_unread { Duration::ZERO } else { max_wait };
         let ignores_timers = self.clock.is_manual() && time_to_timer > 0.0;
         let wait = if ignores_timers { max_wait } else { max_wait.min(millis(time_to_timer)) };
@@ -41,7 +43,9 @@
         // Sockets with input left from the previous iteration come after sockets with new events, so that a client
         // that floods its connection does not delay the others.
         let unread_clients = unread_clients.into_iter().map(SocketOwner::JsonRpc);
-        let unread = unread_clients.chain(unread_closing.into_iter().map(SocketOwner::Closing));
+        let unread_sessions = unread_sessions.into_iter().map(SocketOwner::Mysql);
+        let unread_closing = unread_closing.into_iter().map(SocketOwner::Closing);
+        let unread = unread_clients.chain(unread_sessions).chain(unread_closing);
         for (owner, read_closed) in ready.into_iter().chain(unread.map(|owner| (owner, false))) {
             let now = self.clock.now();
             self.handle_socket(owner, read_closed, now, sent_at);
--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -13,7 +13,7 @@
     BoundParameters, ClientHandle, ClientRequest, DispatcherEvent, FinalResponse, Front, Payload,
 };
 use crate::node::front::cancel_request;
-use crate::node::mysql_packets::{self, error, MAX_PACKET_BYTES};
+use crate::node::mysql_packets::{self, error};
 use crate::node::reactor::{memory_use_and_largest, BufferedSocket, ReadStatus, SocketOwner};
 use crate::node::slab::{Slab, SlotKey};
 use crate::node::table_group;
@@ -26,8 +26,9 @@
 use mysql_common::packets::{HandshakePacket, HandshakeResponse};
 use mysql_common::proto::MySerialize;
 use mysql_common::scramble::scramble_native;
+use session::Statement;
 use std::collections::hash_map::RandomState;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,7 +37,7 @@
 const LOGIN_TIMEOUT_MS: f64 = 10_000.0;
 /// Maximum number of prepared statements per session.
 const MAX_STATEMENTS: usize = 256;
-/// Maximum total bytes of the texts, types and long values of the prepared statements of a session.
+/// Maximum total memory of the prepared statements of a session, in bytes.
 const MAX_STATEMENT_BYTES: usize = 2 << 20;
 /// Sessions that use at most this many bytes of memory do not trigger a check of the total of all sessions.
 const SMALL_SESSION_BYTES: usize = 32 * 1024;
@@ -44,6 +45,14 @@
 const MAX_PARAMETERS: usize = 65_535;
 /// Unwritten output bytes of a session above which its further commands wait.
 const MAX_UNWRITTEN_BYTES: usize = 256 * 1024;
+/// Most bytes read from one session per event loop iteration, so that a client can't starve the others.
+const BYTES_PER_TURN: usize = 64 * 1024;
+/// Most commands handled for one session per event loop iteration.
+const COMMANDS_PER_TURN: usize = 512;
+/// Most input bytes that are buffered for one session: more than both socket buffers of a connection usually hold.
+const MAX_INPUT_BYTES: usize = 8 << 20;
+/// Most input bytes that are buffered before the login.
+const MAX_LOGIN_BYTES: usize = 16 * 1024;
 const PLUGIN: &[u8] = b"mysql_native_password";
 /// Protocol id of the collation `utf8mb4_general_ci`.
 const COLLATION: u8 = 45;
@@ -77,16 +86,6 @@
 const FAILED: (u16, &str, &str) = (1105, "HY000", "failed; it may have run");
 const TIMED_OUT: (u16, &str, &str) = (3024, "HY000", "no answer in time; it may have run");
 
-#[derive(Debug)]
-struct Statement {
-    text: Vec<u8>,
-    /// Default schema of the session when the statement was prepared; unqualified names in the statement belong to it.
-    schema: Option<String>,
-    parameter_count: usize,
-    types: Vec<u8>,
-    long_data: BTreeMap<u16, Vec<u8>>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// The server greeting was sent; waiting for the login response.
@@ -99,6 +98,12 @@
     Busy(u8),
 }
 
+/// Whether a session stays open after its buffered commands.
+enum AfterCommands {
+    KeepOpen,
+    Close,
+}
+
 struct Session {
     socket: BufferedSocket,
     phase: Phase,
@@ -111,24 +116,6 @@
     requests: u64,
 }
 
-impl Session {
-    fn memory_bytes(&self) -> usize {
-        self.socket.unsent_bytes() + self.socket.input.len() + self.statement_bytes()
-    }
-    fn statement_bytes(&self) -> usize {
-        let long = |s: &Statement| s.long_data.values().map(Vec::len).sum::<usize>();
-        self.statements.values().map(|s| s.text.len() + s.types.len() + long(s)).sum()
-    }
-    fn reply(&mut self, after: u8, body: &[u8]) {
-        let mut out = Vec::new();
-        mysql_packets::append_packet(&mut out, after.wrapping_add(1), body);
-        self.socket.queue_write(&out);
-    }
-    fn send_error(&mut self, after: u8, (code, state, message): (u16, &str, &str)) {
-        self.reply(after, &error(code, state, message));
-    }
-}
-
 /// The MySQL front with its client sessions.
 pub struct MysqlFront {
     settings: MysqlSettings,
@@ -137,6 +124,8 @@
     sessions: Slab<Session>,
     connections: u32,
     max_total_bytes: usize,
+    /// Sessions that have reached a limit per iteration and have commands or input left.
+    unread: Vec<SlotKey>,
 }
 
 impl MysqlFront {
@@ -144,7 +133,14 @@
     /// `max_total_bytes` limits the memory for buffers and prepared statements of all sessions together.
     pub fn new(settings: MysqlSettings, module: &Settings, max_total_bytes: usize) -> MysqlFront {
         let classes = module.classes.iter().map(|c| (c.repeat, c.deadline.as_millis(), c.in_order)).collect();
-        MysqlFront { settings, classes, sessions: Slab::default(), connections: 0, max_total_bytes }
+        MysqlFront {
+            settings,
+            classes,
+            sessions: Slab::default(),
+            connections: 0,
+            max_total_bytes,
+            unread: Vec::new(),
+        }
     }
 
     /// The number of connected clients.
@@ -206,52 +202,88 @@
         }
     }
 
-    /// Handles a readiness event, or resumes command processing after a response.
+    /// Removes and returns the sessions with commands or input left to handle, which get no further event from the poll.
+    pub fn take_unread(&mut self) -> Vec<SlotKey> {
+        std::mem::take(&mut self.unread)
+    }
+
+    /// Handles a readiness event, or resumes command processing after a response, up to the limits per iteration.
     /// If the client has closed its side, the session is closed and buffered commands are not processed.
     pub fn ready(&mut self, key: SlotKey, read_closed: bool, context: &mut BackendContext) {
         if read_closed {
             return self.close(key, context);
         }
-        loop {
-            let Some(session) = self.sessions.get_mut(key) else { return };
-            if session.socket.flush().is_err() {
-                return self.close(key, context);
-            }
-            let end = session.socket.read(MAX_PACKET_BYTES + 8);
-            let mut more = session.socket.read_limit_reached();
-            while let Some(session) = self.sessions.get_mut(key) {
-                if matches!(session.phase, Phase::Busy(_))
-                    || session.socket.unsent_bytes() > MAX_UNWRITTEN_BYTES
-                {
-                    more = false; // Resumes after the response, or when the client has read more output.
-                    break;
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        if session.socket.flush().is_err() {
+            return self.close(key, context);
+        }
+        let max_input = session.max_input_bytes();
+        let end = session.socket.read((session.socket.input.len() + BYTES_PER_TURN).min(max_input));
+        if !matches!(end, Ok(ReadStatus::Open)) {
+            return self.close(key, context);
+        }
+        // The end of the connection may lie behind the unread input, so no command runs before all input is read.
+        if session.socket.read_limit_reached() && session.socket.input.len() < max_input {
+            self.unread.push(key);
+        } else if matches!(self.handle_commands(key, context), AfterCommands::Close) {
+            return self.close_after_flush(key, context);
+        }
+        self.resume_later(key, context);
+        if self.sessions.get(key).is_some_and(|session| session.memory_bytes() > SMALL_SESSION_BYTES) {
+            self.enforce_memory_limit(context);
+        }
+    }
+
+    /// Handles the buffered commands of a session, up to the limit per iteration, until one is in flight or too much
+    /// output is unwritten.
+    fn handle_commands(&mut self, key: SlotKey, context: &mut BackendContext) -> AfterCommands {
+        let Some(session) = self.sessions.get_mut(key) else { return AfterCommands::KeepOpen };
+        let input = std::mem::take(&mut session.socket.input);
+        let mut used = 0;
+        let mut after = AfterCommands::KeepOpen;
+        for _ in 0..COMMANDS_PER_TURN {
+            let Some(session) = self.sessions.get_mut(key).filter(|session| session.takes_commands()) else {
+                break;
+            };
+            match mysql_packets::parse_packet(&input[used..]) {
+                Ok(None) if input.len() - used >= session.max_input_bytes() => {
+                    session.send_error(0, PACKET_TOO_LARGE);
+                    after = AfterCommands::Close;
                 }
-                match mysql_packets::parse_packet(&session.socket.input) {
-                    Ok(None) => break,
-                    Ok(Some((sequence, body))) => {
-                        let body = body.to_vec();
-                        session.socket.consume(4 + body.len());
-                        if !self.handle_packet(key, sequence, &body, context) {
-                            return self.close_after_flush(key, context);
-                        }
-                    }
-                    Err(too_long) => {
-                        session.send_error(too_long.0, PACKET_TOO_LARGE);
-                        return self.close_after_flush(key, context);
+                Ok(None) => break,
+                Ok(Some((sequence, body))) => {
+                    used += 4 + body.len();
+                    if !self.handle_packet(key, sequence, body, context) {
+                        after = AfterCommands::Close;
                     }
                 }
+                Err(too_long) => {
+                    session.send_error(too_long.0, PACKET_TOO_LARGE);
+                    after = AfterCommands::Close;
+                }
             }
-            let Some(session) = self.sessions.get_mut(key) else { return };
-            let broken = session.socket.flush().is_err();
-            if broken || !matches!(end, Ok(ReadStatus::Open)) {
-                return self.close(key, context);
-            }
-            if !more {
+            if matches!(after, AfterCommands::Close) {
                 break;
             }
         }
-        if self.sessions.get(key).is_some_and(|session| session.memory_bytes() > SMALL_SESSION_BYTES) {
-            self.enforce_memory_limit(context);
+        if let Some(session) = self.sessions.get_mut(key) {
+            session.socket.input = input;
+            session.socket.consume(used);
+        }
+        after
+    }
+
+    /// Writes the output of a session. Schedules the session again if it can go on without an event from the poll: that
+    /// reports neither commands that are left in the buffer nor a socket that has taken all output.
+    fn resume_later(&mut self, key: SlotKey, context: &mut BackendContext) {
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        if session.socket.flush().is_err() {
+            return self.close(key, context);
+        }
+        let has_command = !matches!(mysql_packets::parse_packet(&session.socket.input), Ok(None));
+        let has_unread = session.socket.read_limit_reached();
+        if session.takes_commands() && (has_command || has_unread) && !self.unread.contains(&key) {
+            self.unread.push(key);
         }
     }
 
@@ -316,8 +348,10 @@
         for key in self.sessions.keys() {
             self.ready(key, false, context); // Handles input received since the poll, lest closing discard it.
             let is_busy = |s: &Session| matches!(s.phase, Phase::Busy(_));
-            let is_idle =
-                |s: &Session| !is_busy(s) && s.socket.unsent_bytes() == 0 && s.socket.input.is_empty();
+            let is_idle = |s: &Session| {
+                let has_input = !s.socket.input.is_empty() || s.socket.read_limit_reached();
+                !is_busy(s) && s.socket.unsent_bytes() == 0 && !has_input
+            };
             if self.sessions.get(key).is_some_and(is_idle) {
                 self.close_after_flush(key, context);
             }
--- a/src/node/front/mysql/run.rs
+++ b/src/node/front/mysql/run.rs
@@ -33,7 +33,7 @@
             }
             STMT_RESET => match handle.and_then(|id| session.statements.get_mut(&id)) {
                 Some(statement) => {
-                    statement.long_data.clear();
+                    statement.clear_long_data();
                     session.reply(sequence, &mysql_packets::ok());
                 }
                 None => session.send_error(sequence, UNKNOWN_STATEMENT),
--- a/src/node/front/mysql/session.rs
+++ b/src/node/front/mysql/session.rs
@@ -1,8 +1,59 @@
 //! State of a client session: schema, prepared statements and bound parameter values.
 
 use super::*;
+use std::collections::BTreeMap;
+
+/// Memory of a prepared statement without its text, types and long values, in bytes.
+const STATEMENT_OVERHEAD_BYTES: usize = 0;
+/// Memory of a long value without its data, in bytes.
+const LONG_VALUE_OVERHEAD_BYTES: usize = 0;
+
+/// A prepared statement of a session.
+#[derive(Debug)]
+pub(super) struct Statement {
+    pub(super) text: Vec<u8>,
+    /// Default schema of the session when the statement was prepared; unqualified names in the statement belong to it.
+    pub(super) schema: Option<String>,
+    parameter_count: usize,
+    types: Vec<u8>,
+    long_data: BTreeMap<u16, Vec<u8>>,
+    /// Memory of `long_data`, in bytes.
+    long_data_bytes: usize,
+}
 
 impl Session {
+    /// Memory of the session's buffers, names and statements, in bytes.
+    pub(super) fn memory_bytes(&self) -> usize {
+        let buffers = self.socket.unsent_bytes() + self.socket.input.capacity();
+        buffers + self.user.len() + self.statement_bytes()
+    }
+
+    fn statement_bytes(&self) -> usize {
+        self.statements.values().map(Statement::memory_bytes).sum()
+    }
+
+    pub(super) fn max_input_bytes(&self) -> usize {
+        match self.phase {
+            Phase::Greeted | Phase::AuthSwitched => MAX_LOGIN_BYTES,
+            Phase::Ready | Phase::Busy(_) => MAX_INPUT_BYTES,
+        }
+    }
+
+    /// Whether the next command can be handled: none is in flight, and the client reads its output.
+    pub(super) fn takes_commands(&self) -> bool {
+        !matches!(self.phase, Phase::Busy(_)) && self.socket.unsent_bytes() <= MAX_UNWRITTEN_BYTES
+    }
+
+    pub(super) fn reply(&mut self, after: u8, body: &[u8]) {
+        let mut out = Vec::new();
+        mysql_packets::append_packet(&mut out, after.wrapping_add(1), body);
+        self.socket.queue_write(&out);
+    }
+
+    pub(super) fn send_error(&mut self, after: u8, (code, state, message): (u16, &str, &str)) {
+        self.reply(after, &error(code, state, message));
+    }
+
     pub(super) fn send_unsupported(&mut self, sequence: u8, what: &str) {
         let message = format!("beamgap does not support {what}: it would not move from box to box");
         self.send_error(sequence, (UNSUPPORTED.0, UNSUPPORTED.1, &message));
@@ -34,9 +85,15 @@
         }
         let handle = self.next_statement;
         self.next_statement = self.next_statement.wrapping_add(1).max(1);
-        let (types, long_data) = (Vec::new(), BTreeMap::new());
-        let (text, schema) = (text.to_vec(), self.schema.clone());
-        self.statements.insert(handle, Statement { text, schema, parameter_count, types, long_data });
+        let statement = Statement {
+            text: text.to_vec(),
+            schema: self.schema.clone(),
+            parameter_count,
+            types: Vec::new(),
+            long_data: BTreeMap::new(),
+            long_data_bytes: 0,
+        };
+        self.statements.insert(handle, statement);
         let mut body = vec![0];
         body.extend(handle.to_le_bytes());
         body.extend(0u16.to_le_bytes());
@@ -61,19 +118,41 @@
         let Some((handle, rest)) = rest.split_first_chunk::<4>() else { return };
         let Some((index, data)) = rest.split_first_chunk::<2>() else { return };
         let Some(statement) = self.statements.get_mut(&u32::from_le_bytes(*handle)) else { return };
-        let index = u16::from_le_bytes(*index);
-        if usize::from(index) >= statement.parameter_count || data.len() > room {
-            statement.long_data.insert(u16::MAX, Vec::new()); // `bind` rejects this invalid parameter index.
-            return;
-        }
-        statement.long_data.entry(index).or_default().extend_from_slice(data);
+        statement.append_long_data(u16::from_le_bytes(*index), data, room);
     }
 }
 
 impl Statement {
+    /// Memory of the statement, in bytes.
+    fn memory_bytes(&self) -> usize {
+        let schema = self.schema.as_ref().map_or(0, String::len);
+        STATEMENT_OVERHEAD_BYTES + self.text.len() + schema + self.types.len() + self.long_data_bytes
+    }
+
+    /// Drops the long values that were received for the next execution.
+    pub(super) fn clear_long_data(&mut self) {
+        self.long_data.clear();
+        self.long_data_bytes = 0;
+    }
+
+    /// Appends data to a long value. Data beyond `room` bytes of memory, or for a parameter that the statement does not
+    /// have, makes the next execution fail.
+    fn append_long_data(&mut self, index: u16, data: &[u8], room: usize) {
+        let is_new = !self.long_data.contains_key(&index);
+        let bytes = data.len() + if is_new { LONG_VALUE_OVERHEAD_BYTES } else { 0 };
+        if usize::from(index) >= self.parameter_count || bytes > room {
+            self.clear_long_data();
+            self.long_data.insert(u16::MAX, Vec::new()); // `bind` rejects this invalid parameter index.
+            return;
+        }
+        self.long_data_bytes += bytes;
+        self.long_data.entry(index).or_default().extend_from_slice(data);
+    }
+
     /// Parses the body of `COM_STMT_EXECUTE`: flags, null bitmap, optional types and values. Fails with an error code.
     pub(super) fn bind(&mut self, rest: &[u8]) -> Result<BoundParameters, u16> {
         let long: Vec<(u16, Vec<u8>)> = std::mem::take(&mut self.long_data).into_iter().collect();
+        self.long_data_bytes = 0;
         if long.iter().any(|(index, _)| usize::from(*index) >= self.parameter_count) {
             return Err(WRONG_ARGUMENTS.0);
         }
