MySQL front: names, statements and long values count towards a session's memory

Both tests (`a_name_that_is_longer_than_any_database_is_refused`, `empty_long_values_count_towards_the_memory_of_a_session`) failed before: no error at login; 60,000 empty values (3.8 MB) were accepted.

--- a/src/node/front/mysql/login.rs
+++ b/src/node/front/mysql/login.rs
@@ -34,6 +34,10 @@
         session.user = response.user().to_vec();
         let schema = response.db_name().map(|name| String::from_utf8_lossy(name).into_owned());
         session.schema = schema.filter(|name| !name.is_empty());
+        if session.schema.as_deref().is_some_and(session::is_name_too_long) {
+            session.send_error(sequence, NAME_TOO_LONG);
+            return false;
+        }
         let other = response.auth_plugin().is_some_and(|plugin| plugin.as_bytes() != PLUGIN);
         if other {
             let body = [&[0xfe], PLUGIN, &[0], &session.nonce, &[0]].concat();
--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -77,6 +77,7 @@
 const UNKNOWN_STATEMENT: (u16, &str, &str) = (1243, "HY000", "Unknown prepared statement handler");
 const UNKNOWN_COMMAND: (u16, &str, &str) = (1047, "08S01", "Unknown command");
 const WRONG_ARGUMENTS: (u16, &str, &str) = (1210, "HY000", "Incorrect arguments to EXECUTE");
+const NAME_TOO_LONG: (u16, &str, &str) = (1059, "42000", "Identifier name is too long");
 const TOO_MANY_STATEMENTS: (u16, &str, &str) =
     (1461, "42000", "Too many prepared statements in this session");
 const PACKET_TOO_LARGE: (u16, &str, &str) = (1153, "08S01", "Got a packet bigger than is taken");
--- a/src/node/front/mysql/session.rs
+++ b/src/node/front/mysql/session.rs
@@ -4,9 +4,11 @@
 use std::collections::BTreeMap;
 
 /// Memory of a prepared statement without its text, types and long values, in bytes.
-const STATEMENT_OVERHEAD_BYTES: usize = 0;
+const STATEMENT_OVERHEAD_BYTES: usize = 256;
 /// Memory of a long value without its data, in bytes.
-const LONG_VALUE_OVERHEAD_BYTES: usize = 0;
+const LONG_VALUE_OVERHEAD_BYTES: usize = 64;
+/// Longest name of a database, in characters, as in MySQL.
+const MAX_NAME_CHARS: usize = 64;
 
 /// A prepared statement of a session.
 #[derive(Debug)]
@@ -61,6 +63,7 @@
 
     pub(super) fn choose_schema(&mut self, sequence: u8, name: &[u8]) {
         match std::str::from_utf8(name) {
+            Ok(name) if is_name_too_long(name) => self.send_error(sequence, NAME_TOO_LONG),
             Ok(name) if !name.is_empty() => {
                 self.schema = Some(name.to_owned());
                 self.reply(sequence, &mysql_packets::ok());
@@ -122,6 +125,11 @@
     }
 }
 
+/// Whether a name is longer than that of any database.
+pub(super) fn is_name_too_long(name: &str) -> bool {
+    name.chars().count() > MAX_NAME_CHARS
+}
+
 impl Statement {
     /// Memory of the statement, in bytes.
     fn memory_bytes(&self) -> usize {
--- a/tests/mysql_floods.rs
+++ b/tests/mysql_floods.rs
@@ -7,6 +7,7 @@
 #[path = "common/stage.rs"]
 mod stage;
 
+use beamgap::node::mysql_packets::error_code;
 use boxes::Boxes;
 use raw_session::*;
 use std::io::Write;
@@ -75,6 +76,49 @@
     }
 }
 
+// Guards against memory that no limit counts: the database's name was kept with the session and with each statement.
+#[test]
+fn a_name_that_is_longer_than_any_database_is_refused() {
+    let name = "n".repeat(65);
+    let mut boxes = Boxes::new(1);
+    let (_, reply) = RawSession::log_in(&mut boxes, Some(&name));
+    assert_eq!(error_code(&reply), Some(1059));
+    let (mut session, reply) = RawSession::log_in(&mut boxes, Some(&name[..64]));
+    assert_eq!(reply[0], 0);
+    session.peer.push(&command(COM_INIT_DB, name.as_bytes()));
+    assert_eq!(error_code(&session.response(&mut boxes)), Some(1059));
+    session.peer.push(&command(COM_QUERY, format!("use {name}").as_bytes()));
+    assert_eq!(error_code(&session.response(&mut boxes)), Some(1059));
+}
+
+// Guards against memory that no limit counts: only the data of long values was counted, so empty ones were free.
+#[test]
+fn empty_long_values_count_towards_the_memory_of_a_session() {
+    const PARAMETERS: u16 = 60_000;
+    let mut boxes = Boxes::new(1);
+    let (mut session, _) = RawSession::log_in(&mut boxes, None);
+    let text = format!("insert into s_1.t values (?{})", ",?".repeat(usize::from(PARAMETERS) - 1));
+    session.peer.push(&command(COM_STMT_PREPARE, text.as_bytes()));
+    let prepared = session.response(&mut boxes);
+    assert_eq!(prepared[0], 0);
+    for _ in 0..=PARAMETERS {
+        session.response(&mut boxes);
+    }
+    let long_value = |index: u16| {
+        let target = [&prepared[1..5], &index.to_le_bytes()].concat();
+        command(COM_STMT_SEND_LONG_DATA, &target)
+    };
+    let values: Vec<u8> = (0..PARAMETERS).flat_map(long_value).collect();
+    let mut rest = &values[..];
+    while !rest.is_empty() {
+        write_some(&mut session, &mut rest);
+        boxes.turn();
+    }
+    session.peer.push(&command(COM_STMT_EXECUTE, &[&prepared[1..5], &[0, 1, 0, 0, 0]].concat()));
+    assert_eq!(error_code(&session.response(&mut boxes)), Some(1210));
+    assert!(boxes.runs.is_empty());
+}
+
 // Guards against statements that run for a client that is gone: its end lay behind input that was not read yet.
 #[test]
 fn a_session_that_closed_with_much_unread_has_nothing_run() {
