JSON-RPC: a request is sent on only once its connection's input is read to the end

Cause: the front read 64 kB of a connection per iteration and passed on each request at once, while the end of the connection stood behind the rest of the input. A request is kept back now until the input has been read to its end (or 16 MB more, for input without an end); a close or cancel found meanwhile withdraws it unseen. Clients with such requests are read up to 1 MB in a row, one after another, and a client is scheduled once per iteration, where each event used to add one more turn.

--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -1,8 +1,10 @@
 //! One iteration of the event loop: socket readiness, timers, engine list events and the commands of the request
 //! dispatcher.
 
+use super::slab::SlotKey;
 use super::*;
 use mio::event::Event;
+use std::collections::VecDeque;
 
 /// Name of an engine's state in the log.
 fn state_in_log(state: crate::EngineState) -> &'static str {
@@ -42,14 +44,14 @@
         let ready: Vec<(SocketOwner, bool)> = self.events.iter().filter_map(to_ready_socket).collect();
         // Sockets with input left from the previous iteration come after sockets with new events, so that a client
         // that floods its connection does not delay the others.
-        let unread_clients = unread_clients.into_iter().map(SocketOwner::JsonRpc);
         let unread_sessions = unread_sessions.into_iter().map(SocketOwner::Mysql);
         let unread_closing = unread_closing.into_iter().map(SocketOwner::Closing);
-        let unread = unread_clients.chain(unread_sessions).chain(unread_closing);
+        let unread = unread_sessions.chain(unread_closing);
         for (owner, read_closed) in ready.into_iter().chain(unread.map(|owner| (owner, false))) {
             let now = self.clock.now();
             self.handle_socket(owner, read_closed, now, sent_at);
         }
+        self.read_unread_clients(unread_clients, sent_at);
         let now = self.clock.now();
         while let Some(timer_event) = self.timers.pop_expired(now) {
             self.handle_timer(timer_event, self.clock.now());
@@ -59,6 +61,17 @@
         Ok(())
     }
 
+    /// Reads on from the JSON-RPC clients that have reached a limit and have input left.
+    fn read_unread_clients(&mut self, unread: VecDeque<SlotKey>, sent_at: f64) {
+        let mut events = Vec::new();
+        let now = self.clock.now();
+        let Node { poll, timers, log, jsonrpc, closing, .. } = self;
+        let mut context =
+            BackendContext { now, registry: poll.registry(), timers, closing, events: &mut events, log };
+        jsonrpc.read_unread(unread, sent_at, &mut context);
+        self.run_dispatcher(events);
+    }
+
     /// Handles readiness of a socket. `read_closed` tells that the peer has closed its write side, possibly with
     /// input left to read. `sent_at` is the estimated time at which the peer sent that input.
     fn handle_socket(&mut self, owner: SocketOwner, read_closed: bool, now: f64, sent_at: f64) {
--- a/src/node/front/jsonrpc/client.rs
+++ b/src/node/front/jsonrpc/client.rs
@@ -19,11 +19,15 @@
     /// Whether further input is dropped, because a message could not be read or was given up. The connection is closed
     /// once no response is owed.
     pub(super) ignores_input: bool,
+    /// Whether a further read is scheduled.
+    pub(super) is_unread: bool,
+    /// Open requests that are not passed on yet, as more input is left to read.
+    pub(super) unconfirmed: UnconfirmedRequests,
 }
 
 impl Client {
     pub(super) fn buffered(&self) -> usize {
-        self.link.unsent_bytes() + self.link.input.capacity()
+        self.link.unsent_bytes() + self.link.input.capacity() + self.unconfirmed.payload_bytes()
     }
 
     /// Whether most of the client's buffered bytes are those of an incomplete message.
--- a/src/node/front/jsonrpc/disconnect.rs
+++ b/src/node/front/jsonrpc/disconnect.rs
@@ -63,8 +63,13 @@
         if is_broken {
             return self.close(key, context);
         }
-        if client.link.read_limit_reached() && !client.read_closed {
-            self.unread.push(key);
+        if client.read_closed {
+            return self.flush_or_close(key, context);
+        }
+        if client.link.read_limit_reached() {
+            self.schedule_read(key);
+        } else {
+            self.confirm_requests(key, context);
         }
         self.flush_or_close(key, context);
     }
@@ -91,7 +96,11 @@
     /// Withdraws the open requests of a client that has disconnected or closed its write side.
     pub(super) fn withdraw_requests(&mut self, key: SlotKey, context: &mut BackendContext) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        let mut ids: Vec<u64> = std::mem::take(&mut client.open_ids).into_iter().collect();
+        let mut ids = std::mem::take(&mut client.open_ids);
+        for request in client.unconfirmed.take() {
+            ids.remove(&request.client.id);
+        }
+        let mut ids: Vec<u64> = ids.into_iter().collect();
         ids.sort_unstable();
         for id in ids {
             cancel_request(ClientHandle { front: Front::JsonRpc, conn: key, id }, context.events);
@@ -100,11 +109,15 @@
 
     /// Frees the buffers of the client with the most buffered bytes if all buffers together exceed the limit. This
     /// bounds memory against many clients that don't read their responses or never complete a message. A client that
-    /// is owed responses loses only its incomplete message; one that does not read them is disconnected.
+    /// is owed responses loses only its incomplete message; one that does not read them is disconnected. Requests that
+    /// are kept back are passed on first: the request dispatcher has a limit of its own and rejects what exceeds it.
     pub(super) fn enforce_total(&mut self, context: &mut BackendContext) {
         let (total, heaviest_client) =
             memory_use_and_largest(self.clients.iter().map(|(key, c)| (c.buffered(), key)));
         let Some(key) = heaviest_client.filter(|_| total > self.max_total) else { return };
+        if self.clients.get(key).is_some_and(|client| !client.unconfirmed.is_empty()) {
+            return self.confirm_requests(key, context);
+        }
         let is_owed = |client: &Client| !client.open_ids.is_empty() && client.is_mostly_input();
         if self.clients.get(key).is_some_and(is_owed) {
             context.log.push(format!("slow client: message given up, bytes={total}"));
--- a/src/node/front/jsonrpc/message.rs
+++ b/src/node/front/jsonrpc/message.rs
@@ -71,7 +71,7 @@
                 put(&mut client.link, &format!(r#"{{"jsonrpc":"2.0","id":{id},"result":{{"pass":true}}}}"#));
             }
             Ok(Message::Cancel(id)) => {
-                if client.open_ids.remove(&id) {
+                if client.open_ids.remove(&id) && !client.unconfirmed.remove(id) {
                     cancel_request(ClientHandle { front: Front::JsonRpc, conn: key, id }, context.events);
                 }
             }
@@ -84,7 +84,7 @@
                     request.waited_at_client =
                         pacing.longest_wait(sent_at, ordering_key, request.budget_ms, on_new_connection);
                 }
-                context.events.push(DispatcherEvent::RequestReceived(*request));
+                client.unconfirmed.push(*request);
             }
             Ok(Message::DuplicateId(id)) => {
                 // The client could take any further response with this id for that of the open request.
--- a/src/node/front/jsonrpc/mod.rs
+++ b/src/node/front/jsonrpc/mod.rs
@@ -5,6 +5,7 @@
 mod framing;
 pub mod key_pacing;
 mod message;
+mod unconfirmed;
 
 use crate::node::backend::BackendContext;
 use crate::node::dispatcher::{ClientHandle, ClientRequest, DispatcherEvent, FinalResponse, Front, Payload};
@@ -21,9 +22,10 @@
 use key_pacing::KeyPacing;
 use message::*;
 use mio::net::TcpStream;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
+use unconfirmed::UnconfirmedRequests;
 
 /// Longest message header in bytes. A valid header is one short line, so a longer one is a framing error.
 const MAX_HEADER_BYTES: usize = 4096;
@@ -49,6 +51,11 @@
 const BYTES_PER_TURN: usize = 64 * 1024;
 /// Most messages handled from one client per event loop iteration: as many as it may have open requests.
 const MESSAGES_PER_TURN: usize = 32;
+/// Most reads per event loop iteration from clients with input left, over all of these clients.
+const READS_PER_TURN: usize = 32;
+/// Most reads in a row from one client with input left, before the next such client has its turn. Most clients are read
+/// to the end by then, which bounds the memory for requests that are kept back until then.
+const READS_PER_CLIENT: usize = 16;
 /// Time from the connect to the first complete message, in milliseconds, after which a client is disconnected.
 const FIRST_MESSAGE_TIMEOUT_MS: f64 = 2000.0;
 /// Time from the first byte of a message to its last, in milliseconds, after which a client is disconnected.
@@ -77,8 +84,8 @@
     /// Limit on the buffers of all clients, in bytes.
     max_total: usize,
     max_message: usize,
-    /// Clients that have reached a limit on input per iteration and have input left to read.
-    unread: Vec<SlotKey>,
+    /// Clients that have reached a limit on input per iteration and have input left to read, each once.
+    unread: VecDeque<SlotKey>,
     /// Number of bad messages in the current second, and the start of that second.
     bad_messages: (u32, f64),
 }
@@ -101,7 +108,7 @@
             max_budgets,
             max_total,
             max_message,
-            unread: Vec::new(),
+            unread: VecDeque::new(),
             bad_messages: (0, 0.0),
         }
     }
@@ -127,6 +134,8 @@
             partial_since: None,
             timer: None,
             ignores_input: false,
+            is_unread: false,
+            unconfirmed: UnconfirmedRequests::default(),
         };
         let key = self.clients.insert(client);
         let Some(client) = self.clients.get_mut(key) else { return };
@@ -143,10 +152,65 @@
     }
 
     /// Removes and returns the clients with input left to read, which get no further event from the poll.
-    pub fn take_unread(&mut self) -> Vec<SlotKey> {
+    pub fn take_unread(&mut self) -> VecDeque<SlotKey> {
         std::mem::take(&mut self.unread)
     }
 
+    /// Reads on from clients with input left, up to the limits per iteration. Clients whose turn does not come stay
+    /// scheduled, before those that are scheduled meanwhile.
+    pub fn read_unread(
+        &mut self,
+        mut scheduled: VecDeque<SlotKey>,
+        sent_at: f64,
+        context: &mut BackendContext,
+    ) {
+        let mut reads_left = READS_PER_TURN;
+        while reads_left > 0 {
+            let Some(key) = scheduled.pop_front() else { return };
+            reads_left -= self.read_in_a_row(key, READS_PER_CLIENT.min(reads_left), sent_at, context);
+        }
+        scheduled.append(&mut self.unread);
+        self.unread = scheduled;
+    }
+
+    /// Reads on from a client, repeatedly while it has requests that are kept back until its input is read. Returns the
+    /// number of reads, from 1 to `max_reads`.
+    fn read_in_a_row(
+        &mut self,
+        key: SlotKey,
+        max_reads: usize,
+        sent_at: f64,
+        context: &mut BackendContext,
+    ) -> usize {
+        for reads in 1..=max_reads {
+            let Some(client) = self.clients.get_mut(key) else { return reads };
+            client.is_unread = false;
+            self.ready(key, false, sent_at, context);
+            let goes_on = |client: &Client| client.is_unread && !client.unconfirmed.is_empty();
+            if reads == max_reads || !self.clients.get(key).is_some_and(goes_on) {
+                return reads;
+            }
+            self.unread.pop_back();
+        }
+        max_reads
+    }
+
+    /// Schedules a further read from a client.
+    fn schedule_read(&mut self, key: SlotKey) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        if !client.is_unread {
+            client.is_unread = true;
+            self.unread.push_back(key);
+        }
+    }
+
+    /// Passes on the requests of a client that were kept back while it had input left.
+    fn confirm_requests(&mut self, key: SlotKey, context: &mut BackendContext) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let requests = client.unconfirmed.take();
+        context.events.extend(requests.into_iter().map(DispatcherEvent::RequestReceived));
+    }
+
     /// Handles readiness of a client's socket: writes responses and reads requests, up to the limits per iteration.
     /// `read_closed` tells that the client has closed its write side, which withdraws its requests at once, even if
     /// input is left to read. `sent_at` is the latest time at which the input can have been sent.
@@ -167,7 +231,9 @@
             return; // The poll reports when the socket is writable again.
         }
         let max_input = (client.link.input.len() + BYTES_PER_TURN).min(MAX_HEADER_BYTES + self.max_message);
+        let buffered = client.link.input.len();
         let end = client.link.read(max_input);
+        let read_bytes = client.link.input.len() - buffered;
         client.read_closed |= matches!(end, Ok(ReadStatus::Closed));
         if client.ignores_input {
             return self.drop_input(key, end.is_err(), context);
@@ -188,13 +254,19 @@
         let Some(client) = self.clients.get_mut(key) else { return };
         client.link.input = input;
         client.link.consume(used);
+        let is_input_left = client.link.read_limit_reached();
+        let is_open = matches!(end, Ok(ReadStatus::Open)) && !client.read_closed;
+        if is_open && client.unconfirmed.are_confirmed_by_read(read_bytes, is_input_left) {
+            self.confirm_requests(key, context);
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
         match (end, framing) {
             (Err(_), _) => return self.close(key, context),
             (_, Frame::Invalid) => {
                 return self.reject_client(key, PARSE, "the length can't be read, or is too much", context)
             }
             _ if client.read_closed => self.flush_or_close(key, context),
-            (_, Frame::Complete(..)) => self.unread.push(key),
+            (_, Frame::Complete(..)) => self.schedule_read(key),
             (Ok(end), Frame::Partial) => {
                 let partial = !client.link.input.is_empty();
                 client.partial_since =
@@ -202,8 +274,8 @@
                 if let Some(partial_since) = client.partial_since {
                     client.schedule_timer(client.message_due(partial_since), key, context.timers);
                 }
-                if end == ReadStatus::Open && client.link.read_limit_reached() {
-                    self.unread.push(key);
+                if end == ReadStatus::Open && is_input_left {
+                    self.schedule_read(key);
                 }
                 self.flush_or_close(key, context);
             }
--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -115,6 +115,8 @@
     statements: HashMap<u32, Statement>,
     next_statement: u32,
     requests: u64,
+    /// Whether a further read is scheduled.
+    is_unread: bool,
 }
 
 /// The MySQL front with its client sessions.
@@ -125,7 +127,7 @@
     sessions: Slab<Session>,
     connections: u32,
     max_total_bytes: usize,
-    /// Sessions that have reached a limit per iteration and have commands or input left.
+    /// Sessions that have reached a limit per iteration and have commands or input left, each once.
     unread: Vec<SlotKey>,
 }
 
@@ -186,6 +188,7 @@
             statements: HashMap::new(),
             next_statement: 1,
             requests: 0,
+            is_unread: false,
         });
         let Some(session) = self.sessions.get_mut(key) else { return };
         if session.socket.register(context.registry, SocketOwner::Mysql(key)).is_err() {
@@ -205,9 +208,22 @@
 
     /// Removes and returns the sessions with commands or input left to handle, which get no further event from the poll.
     pub fn take_unread(&mut self) -> Vec<SlotKey> {
+        for key in &self.unread {
+            if let Some(session) = self.sessions.get_mut(*key) {
+                session.is_unread = false;
+            }
+        }
         std::mem::take(&mut self.unread)
     }
 
+    fn schedule_read(&mut self, key: SlotKey) {
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        if !session.is_unread {
+            session.is_unread = true;
+            self.unread.push(key);
+        }
+    }
+
     /// Handles a readiness event, or resumes command processing after a response, up to the limits per iteration.
     /// If the client has closed its side, the session is closed and buffered commands are not processed.
     pub fn ready(&mut self, key: SlotKey, read_closed: bool, context: &mut BackendContext) {
@@ -225,7 +241,7 @@
         }
         // The end of the connection may lie behind the unread input, so no command runs before all input is read.
         if session.socket.read_limit_reached() && session.socket.input.len() < max_input {
-            self.unread.push(key);
+            self.schedule_read(key);
         } else if matches!(self.handle_commands(key, context), AfterCommands::Close) {
             return self.close_after_flush(key, context);
         }
@@ -283,8 +299,8 @@
         }
         let has_command = !matches!(mysql_packets::parse_packet(&session.socket.input), Ok(None));
         let has_unread = session.socket.read_limit_reached();
-        if session.takes_commands() && (has_command || has_unread) && !self.unread.contains(&key) {
-            self.unread.push(key);
+        if session.takes_commands() && (has_command || has_unread) {
+            self.schedule_read(key);
         }
     }
 
