Dispatcher: the name of a load that may have run is remembered from its end

Cause: names were remembered for 10 s from the arrival of their request, and only the last 16,384 of all kinds, so a load that ran for long, or whose name came behind a flood of others, was forgotten.

--- a/src/node/dispatcher/decisions.rs
+++ b/src/node/dispatcher/decisions.rs
@@ -67,14 +67,14 @@
                 let backoff_ms = retry_after.map_or(DEFAULT_BACKOFF_MS, from_micros);
                 let response = self.unserved_response(now, key, backoff_ms);
                 self.respond(key, response);
-                self.remove_if_done(key, timers);
+                self.remove_if_done(now, key, timers);
                 None
             }
             Action::Fail { request } => {
                 let key = self.key_of(&request)?;
                 let is_late = self.open.get(key).is_some_and(|open| now >= open.deadline);
                 self.respond(key, if is_late { FinalResponse::TimedOut } else { FinalResponse::Failed });
-                self.remove_if_done(key, timers);
+                self.remove_if_done(now, key, timers);
                 None
             }
             Action::Cancel { request, attempt } => {
@@ -95,7 +95,7 @@
                 let cancelled = FinishedAttempt::bare(attempt, Outcome::Cancelled);
                 let attempt_end = self.close_attempt(now, &cancelled, timers)?;
                 self.commands.push(DispatcherCommand::Cancel(attempt, false));
-                self.remove_if_done(attempt.request, timers);
+                self.remove_if_done(now, attempt.request, timers);
                 Some(attempt_end)
             }
             Action::SetTerms { request, memory_mb, priority } => {
@@ -175,7 +175,7 @@
         if retry_budget.is_some_and(|budget| !budget.try_acquire(&request.0)) {
             let response = self.unserved_response(now, key, DEFAULT_BACKOFF_MS);
             self.respond(key, response);
-            self.remove_if_done(key, timers);
+            self.remove_if_done(now, key, timers);
             return Some(AttemptEnd {
                 request,
                 attempt,
--- a/src/node/dispatcher/mod.rs
+++ b/src/node/dispatcher/mod.rs
@@ -178,7 +178,7 @@
                 trace!(target: ACCOUNT, "gone: id={}", id.0);
                 self.decide(now, Event::ClientGone(id), timers);
                 self.withdraw_attempt(key);
-                self.remove_if_done(key, timers);
+                self.remove_if_done(now, key, timers);
             }
             DispatcherEvent::AttemptEnded(finished) => self.finish_attempt(now, finished, timers),
             DispatcherEvent::AttemptProgress(AttemptRef { request: key, attempt }, progress) => {
@@ -231,7 +231,7 @@
         };
         self.respond(key, response);
         self.decide(now, Event::ClientGone(id), timers);
-        self.remove_if_done(key, timers);
+        self.remove_if_done(now, key, timers);
     }
 
     /// Handles the end of an attempt: responds to the client if the attempt had a response or no further attempt is
@@ -256,7 +256,7 @@
             attempt_end.request_answered = true;
         }
         self.decide(now, Event::AttemptEnded(attempt_end), timers);
-        self.remove_if_done(key, timers);
+        self.remove_if_done(now, key, timers);
     }
 
     /// Records the end of the attempt that is in flight. Returns `None` if the attempt has ended before: a backend
@@ -297,13 +297,17 @@
     }
 
     /// Removes a request that is owed no response and has no attempt in flight.
-    fn remove_if_done(&mut self, key: SlotKey, timers: &mut TimerQueue) {
+    fn remove_if_done(&mut self, now: f64, key: SlotKey, timers: &mut TimerQueue) {
         let is_done =
             self.open.get(key).is_some_and(|open| open.client.is_none() && open.outstanding.is_none());
         if let Some(open) = is_done.then(|| self.open.remove(key)).flatten() {
             open.deadline_timer.into_iter().for_each(|timer| timers.cancel(timer));
             self.by_name.remove(&RequestId(open.request.name.clone()));
             self.payload_bytes -= open.request.payload.size();
+            if open.may_run_since.is_some() {
+                let repeat = self.settings.classes[open.request.class.0].repeat;
+                self.recent_names.record_end(now, &open.request.name, open.arrived_at, repeat);
+            }
             self.retain_units(open);
         }
     }
--- a/src/node/dispatcher/shutdown.rs
+++ b/src/node/dispatcher/shutdown.rs
@@ -63,7 +63,7 @@
                 let id = RequestId(open.request.name.clone());
                 self.respond(key, FinalResponse::Rejected { backoff_ms: DEFAULT_BACKOFF_MS });
                 self.decide(now, Event::ClientGone(id), timers);
-                self.remove_if_done(key, timers);
+                self.remove_if_done(now, key, timers);
             }
         }
     }
