Discovery: a new engine at an address, or a later start, ends connections to the old one

Cause: connections were closed for it only if the list had told the old engine as draining or gone before. With that told later, or never, both engines stayed in use, and requests for the old one went to the new process or to its silent connections; an engine that started again under its id kept the connections to its earlier process. An event that lists a new engine at an address, or one that started later, removes the engine that was there now (`AddressOwners`), whatever is told of it afterwards; connections that were dialled before an engine's start are closed.

--- a/src/node/backend/engine_registry.rs
+++ b/src/node/backend/engine_registry.rs
@@ -1,5 +1,6 @@
 //! Registry of known engines with their addresses, states and connections; every backend has one.
 
+use crate::node::clock::from_micros;
 use crate::node::discovery::ListedEngine;
 use crate::node::slab::SlotKey;
 use crate::{EngineId, EngineState, ListKind};
@@ -13,6 +14,8 @@
     pub address: SocketAddr,
     /// The state from service discovery; only a serving engine accepts new work.
     pub state: EngineState,
+    /// When the engine process last started, in milliseconds; `None` if that was long ago.
+    pub started: Option<f64>,
     /// The open connections to the engine.
     pub connections: Vec<SlotKey>,
     /// Learned limit in milliseconds: connections idle for longer are not reused. The second value is its expiry.
@@ -26,8 +29,14 @@
 pub struct EngineRegistry(BTreeMap<EngineId, Engine>);
 
 impl EngineRegistry {
-    /// Applies an engine list and returns the connections to close because their address is out of date.
-    pub fn apply(&mut self, kind: ListKind, listings: &[ListedEngine]) -> Vec<SlotKey> {
+    /// Applies an engine list and returns the connections to close because their address is out of date, or because the
+    /// engine process has started since they were dialled. `dialed_at` returns when a connection was dialled.
+    pub fn apply(
+        &mut self,
+        kind: ListKind,
+        listings: &[ListedEngine],
+        dialed_at: impl Fn(SlotKey) -> f64,
+    ) -> Vec<SlotKey> {
         if kind != ListKind::Changes {
             let named: HashSet<&EngineId> = listings.iter().map(|l| &l.entry.engine).collect();
             let gone = self.0.iter_mut().filter(|(id, _)| !named.contains(id));
@@ -37,9 +46,11 @@
         for listing in listings {
             let (address, state) = (listing.address, listing.entry.state);
             let id = &listing.entry.engine;
+            let started = listing.entry.started.map(from_micros);
             let new = || Engine {
                 address,
                 state,
+                started,
                 connections: Vec::new(),
                 idle_limit: None,
                 last_received: f64::NEG_INFINITY,
@@ -48,7 +59,11 @@
             if engine.address != address {
                 stale.extend(&engine.connections);
             }
-            (engine.address, engine.state) = (address, state);
+            if let Some(started) = started.filter(|_| started > engine.started) {
+                let to_old_process = engine.connections.iter().filter(|key| dialed_at(**key) < started);
+                stale.extend(to_old_process);
+            }
+            (engine.address, engine.state, engine.started) = (address, state, started);
             if state != EngineState::Removed {
                 // The address was reassigned: other engines that had it and are not serving are gone.
                 let before = self.0.iter().filter(|(other, e)| *other != id && e.address == address);
--- a/src/node/backend/line_protocol/mod.rs
+++ b/src/node/backend/line_protocol/mod.rs
@@ -179,7 +179,9 @@
 
     /// Applies an engine list. Unsent attempts of engines that accept no new work end as overloaded.
     pub fn update_engines(&mut self, kind: ListKind, engines: &[ListedEngine], context: &mut BackendContext) {
-        for key in self.engines.apply(kind, engines) {
+        let connections = &self.connections;
+        let dialed_at = |key| connections.get(key).map_or(f64::INFINITY, |conn| conn.dialed_at);
+        for key in self.engines.apply(kind, engines, dialed_at) {
             self.close(key, Outcome::Reset, context);
         }
         for key in self.connections.keys() {
--- a/src/node/discovery/mod.rs
+++ b/src/node/discovery/mod.rs
@@ -4,9 +4,11 @@
 //! the last revision received. Delays between connection attempts are randomized, because a restart of the discovery
 //! server disconnects all front ends at the same time and they would otherwise reconnect in step.
 
+mod address_owners;
 mod frame;
 mod silence;
 
+pub use address_owners::AddressOwners;
 pub use frame::{parse_frame, BadFrame, ListEvent, ListedEngine};
 
 use self::frame::MAX_FRAME_BYTES;
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -198,7 +198,8 @@
         if !list_events.is_empty() {
             self.xds.iter_mut().for_each(XdsPublisher::publish_soon);
         }
-        for ListEvent { revision, kind, engines } in list_events {
+        for event in list_events {
+            let ListEvent { revision, kind, engines } = self.address_owners.apply(event);
             let Node { poll, timers, log, mysql, line_protocol, closing, .. } = self;
             let mut context = BackendContext { now, registry: poll.registry(), timers, closing, events, log };
             line_protocol.update_engines(kind, &engines, &mut context);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -32,7 +32,7 @@
 use config::{Config, ConfigError};
 use control::xds::XdsPublisher;
 use control::{ControlProtocol, ControlServer, NodeStatus};
-use discovery::{DiscoveryClient, ListEvent};
+use discovery::{AddressOwners, DiscoveryClient, ListEvent};
 use dispatcher::{AttemptRef, DispatcherCommand, DispatcherEvent, Front, RequestDispatcher};
 use front::closing::ClosingConnections;
 use front::jsonrpc::JsonRpc;
@@ -84,6 +84,7 @@
     closing: ClosingConnections,
     line_protocol: LineProtocolBackend,
     discovery: Option<DiscoveryClient>,
+    address_owners: AddressOwners,
     control: ControlServer,
     control_listeners: Vec<(ControlProtocol, TcpListener)>,
     /// Publisher to the xDS server, which runs in a thread of its own; `None` if xDS is off.
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -95,6 +95,7 @@
             closing: ClosingConnections::default(),
             line_protocol,
             discovery,
+            address_owners: AddressOwners::default(),
             control: ControlServer::new(config.control.cluster),
             control_listeners,
             xds,
