--- a/crates/decisions/src/decide/engine_list.rs
+++ b/crates/decisions/src/decide/engine_list.rs
@@ -14,7 +14,7 @@
     ) {
         self.list_backoff = Backoff::default();
         if kind != ListKind::Changes {
-            self.engines.remove_all();
+            self.engines.remove_missing(&entries);
         }
         for entry in entries {
             self.update_engine(entry);
--- a/crates/decisions/src/state/engine_table.rs
+++ b/crates/decisions/src/state/engine_table.rs
@@ -2,7 +2,7 @@
 
 use super::engine::Engine;
 use crate::{EngineEntry, EngineId, EngineState, Micros};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::ops::{Index, IndexMut};
 
 /// Engines by index. The index of a removed engine is reused once no open request refers to it.
@@ -60,11 +60,15 @@
         self.index_by_id.get(id).copied()
     }
 
-    /// Marks all engines as removed, before a complete engine list is applied.
-    pub fn remove_all(&mut self) {
+    /// Marks the engines that a complete engine list leaves out as removed. The others keep their
+    /// index, whichever engines come before them in the list.
+    pub fn remove_missing(&mut self, list: &[EngineEntry]) {
+        let named: HashSet<&EngineId> = list.iter().map(|entry| &entry.engine).collect();
         for engine in &mut self.engines {
-            engine.listed = false;
-            engine.entry.state = EngineState::Removed;
+            if !named.contains(&engine.entry.engine) {
+                engine.listed = false;
+                engine.entry.state = EngineState::Removed;
+            }
         }
     }
 
