MySQL: a statement is killed only in the server process that ran it

KILL QUERY names a connection by the server's own number, and went over any idle or new connection to the engine's address; in a process that has started since, that number is somebody else's connection.

A kill goes over a connection that is older than the statement's, or after SHOW GLOBAL STATUS LIKE 'Uptime' has shown that the server was running when the statement's connection was dialled; a kill without a reply ends after 1.5 s, where it held its connection for ever.

--- a/src/node/backend/mysql/connection.rs
+++ b/src/node/backend/mysql/connection.rs
@@ -19,10 +19,8 @@
     pub(super) fn advance(&mut self, now: f64) {
         self.last_used = now;
         self.phase = Phase::Idle;
-        if let Some(number) = self.kill {
-            self.command(Command::COM_QUERY, format!("KILL QUERY {number}").as_bytes());
-            self.phase = Phase::Killing;
-            return;
+        if let Some(kill) = self.kill {
+            return self.advance_kill(kill);
         }
         let Some(job) = &mut self.job else { return };
         let payload = job.payload.clone();
--- a/src/node/backend/mysql/mod.rs
+++ b/src/node/backend/mysql/mod.rs
@@ -4,6 +4,7 @@
 use super::engine_registry::EngineRegistry;
 use super::BackendContext;
 mod connection;
+mod kill;
 mod pool;
 mod wire;
 
@@ -17,6 +18,7 @@
 use crate::node::slab::{Slab, SlotKey};
 use crate::node::timer_queue::TimerEvent;
 use crate::{EngineId, ListKind, Outcome};
+use kill::{Kill, UptimeResult};
 use mysql_common::constants::Command;
 use mysql_common::io::ParseBuf;
 use mysql_common::packets::{AuthPlugin, HandshakePacket, HandshakeResponse};
@@ -71,6 +73,8 @@
     Preparing(Option<(u32, u64)>),
     /// Receiving the result of a query or an execution.
     Running(ResponseState),
+    /// Receiving the uptime of the server, to learn whether it is the process whose statement is to be killed.
+    CheckingUptime(UptimeResult),
     /// Waiting for the reply to `KILL QUERY` for another connection; the reply is ignored.
     Killing,
 }
@@ -89,8 +93,8 @@
     prepared: HashMap<StatementKey, u32>,
     prepare_order: Vec<StatementKey>,
     job: Option<Job>,
-    /// Connection id for a `KILL QUERY` that this connection has to send.
-    kill: Option<u32>,
+    /// `KILL QUERY` that this connection has to send.
+    kill: Option<Kill>,
     answer: Vec<u8>,
 }
 
@@ -182,22 +186,10 @@
             }
             return;
         }
-        let (engine, number) = (conn.engine.clone(), conn.server_connection_id);
+        let engine = conn.engine.clone();
+        let kill = Kill { connection_id: conn.server_connection_id, dialed_at: conn.dialed_at };
         self.close(key, Outcome::Cancelled, context);
-        let idle = self.engines.connections(&engine).iter().copied();
-        let mut idle =
-            idle.filter(|k| self.connections.get(*k).is_some_and(|c| matches!(c.phase, Phase::Idle)));
-        let Some(by) = idle.next().or_else(|| self.dial(&engine, context)) else {
-            context.log.push(format!("kill: engine={} connection={number} not sent", engine.0));
-            return;
-        };
-        if let Some(conn) = self.connections.get_mut(by) {
-            conn.kill = Some(number);
-            if matches!(conn.phase, Phase::Idle) {
-                conn.advance(context.now);
-                self.flush(by, context);
-            }
-        }
+        self.send_kill(&engine, kill, context);
     }
 
     /// Ends an attempt as not sent if its command was not written; else does nothing.
@@ -296,8 +288,8 @@
     fn close(&mut self, key: SlotKey, outcome: Outcome, context: &mut BackendContext) {
         let Some(conn) = self.connections.remove(key) else { return };
         self.engines.remove_connection(&conn.engine, key);
-        if let Some(number) = conn.kill {
-            context.log.push(format!("kill: engine={} connection={number} not sent", conn.engine.0));
+        if let Some(kill) = conn.kill {
+            kill.log_not_sent(&conn.engine, context);
         }
         if let Some(job) = conn.job {
             self.placements.remove(&job.attempt);
@@ -318,6 +310,10 @@
                 self.close(key, Outcome::ConnectFailed, context)
             }
             Phase::Dialling | Phase::Greeting | Phase::Login => {}
+            // The server may have stopped responding.
+            Phase::CheckingUptime(_) | Phase::Killing if context.now - conn.last_used >= LOGIN_TIMEOUT_MS => {
+                self.close(key, Outcome::Reset, context)
+            }
             Phase::Idle if context.now - conn.last_used >= self.idle_timeout_ms => {
                 self.close(key, Outcome::Reset, context)
             }
--- a/src/node/backend/mysql/wire.rs
+++ b/src/node/backend/mysql/wire.rs
@@ -72,6 +72,7 @@
                     PacketEffect::Broken => AfterPacket::Close,
                 }
             }
+            Phase::CheckingUptime(_) => self.handle_uptime(key, body, context),
             Phase::Killing => {
                 conn.kill = None;
                 conn.advance(context.now);
--- a/src/node/mysql_packets.rs
+++ b/src/node/mysql_packets.rs
@@ -66,6 +66,12 @@
     }
 }
 
+/// Parses a length-encoded text and returns it with the bytes behind it.
+pub fn length_encoded_text(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (length, used) = length_encoded(bytes)?;
+    bytes.get(used..)?.split_at_checked(usize::try_from(length).ok()?)
+}
+
 /// The body of an OK packet without affected rows.
 pub fn ok() -> Vec<u8> {
     let [a, b] = StatusFlags::SERVER_STATUS_AUTOCOMMIT.bits().to_le_bytes();
--- a/tests/common/boxes.rs
+++ b/tests/common/boxes.rs
@@ -70,6 +70,8 @@
     sessions: HashMap<(usize, std::net::SocketAddr), Session>,
     pub runs: Vec<Run>,
     pub kills: usize,
+    /// Seconds since the start of the engines' processes, as the engines report them.
+    pub uptime_seconds: u64,
     pub next: Vec<Next>,
 }
 
@@ -95,6 +97,20 @@
     out
 }
 
+/// Encodes a result set with the name and the value of a status variable.
+fn status_row(name: &str, value: u64) -> Vec<u8> {
+    let value = value.to_string();
+    let mut out = Vec::new();
+    append_packet(&mut out, 1, &[2]);
+    column(&mut out, 2);
+    column(&mut out, 3);
+    append_packet(&mut out, 4, &eof());
+    let fields = [name, &value].map(|field| [&[field.len() as u8], field.as_bytes()].concat());
+    append_packet(&mut out, 5, &fields.concat());
+    append_packet(&mut out, 6, &eof());
+    out
+}
+
 impl Session {
     fn greet(&mut self, peer: &mut Peer) {
         let greeting = HandshakePacket::new(
@@ -153,7 +169,14 @@
 
     /// MySQL engines for a stage whose configuration has a MySQL front.
     pub fn on(stage: Stage) -> Boxes {
-        Boxes { stage, sessions: HashMap::new(), runs: Vec::new(), kills: 0, next: Vec::new() }
+        Boxes {
+            stage,
+            sessions: HashMap::new(),
+            runs: Vec::new(),
+            kills: 0,
+            uptime_seconds: 1_000_000,
+            next: Vec::new(),
+        }
     }
 
     /// Options for a client's login at the MySQL front, with this password.
@@ -223,6 +246,9 @@
                 self.kills += 1;
                 Some(single_packet(&ok()))
             }
+            3 if text == "SHOW GLOBAL STATUS LIKE 'Uptime'" => {
+                Some(status_row("Uptime", self.uptime_seconds))
+            }
             3 => {
                 let statement = Prepared { text, database: session.database.clone() };
                 self.run(house, session, statement, Vec::new(), false)
--- a/tests/mysql.rs
+++ b/tests/mysql.rs
@@ -285,6 +285,25 @@
     assert_eq!(boxes.runs.len(), 1);
 }
 
+// Guards against the kill of somebody else's statement: a new process at the engine's address has given the number of
+// the closed connection to another one.
+#[test]
+fn nothing_is_killed_in_a_process_that_started_after_the_statement() {
+    let mut boxes = Boxes::new(1);
+    boxes.next = vec![Next::Hold];
+    let mut raw = RawClient::login(&mut boxes);
+    raw.send(0, b"\x03insert into s_3.t values (1)");
+    boxes.until("the load runs", |boxes| boxes.runs.len() == 1);
+    boxes.stage.clock.set(boxes.stage.clock.now() + 3_000.0);
+    boxes.uptime_seconds = 2;
+    drop(raw);
+    boxes.until("the end of the request", |boxes| boxes.stage.node.open_requests() == 0);
+    (0..20).for_each(|_| boxes.turn());
+    assert_eq!(boxes.kills, 0);
+    let log = boxes.stage.node.take_log();
+    assert!(log.iter().any(|line| line.starts_with("kill: ") && line.ends_with("not sent")), "{log:?}");
+}
+
 #[test]
 fn long_values_reset_and_close_belong_to_the_sessions_statement() {
     let mut boxes = Boxes::new(1);
