Control: held connections keep no health check out, pipelined ones are all answered

With 24 peers that hold connections with half a request, each further health check was closed unanswered, so balancers take the node for dead; a read that stopped at its limit was never resumed.

A new connection replaces the one inactive for longest; 32 requests per iteration, a pause at 64 kB of unwritten responses, and the server schedules what is left. Both new tests of tests/control.rs failed before.

--- a/src/node/control/mod.rs
+++ b/src/node/control/mod.rs
@@ -13,8 +13,12 @@
 use std::sync::Arc;
 
 /// Maximum number of open connections. They use file descriptors that the node reserves for itself, not those for
-/// clients and engines.
+/// clients and engines. A further connection replaces the one that has been inactive for longest.
 const MAX_CONNECTIONS: usize = 24;
+/// Maximum number of requests answered on one connection per event loop iteration.
+const REQUESTS_PER_TURN: usize = 32;
+/// Unwritten response bytes above which the further requests of a connection wait until the peer has read.
+const MAX_UNWRITTEN_BYTES: usize = 64 * 1024;
 /// Maximum size of a request line with its headers, in bytes.
 const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Maximum size of a request body, in bytes. Only discovery requests have a body, and a discovery request is short.
@@ -79,10 +83,20 @@
     is_closing: bool,
 }
 
+impl Connection {
+    /// Whether the next request can be answered: the peer reads its responses, and none of them was the last.
+    fn takes_requests(&self) -> bool {
+        let is_written = self.socket.unsent_bytes() <= MAX_UNWRITTEN_BYTES;
+        self.kind == ControlProtocol::Http && !self.is_closing && is_written
+    }
+}
+
 /// Server for the connections of load balancers and proxies.
 pub struct ControlServer {
     connections: Slab<Connection>,
     cluster: String,
+    /// Connections that have reached a limit per iteration and have requests or input left, each once.
+    unread: Vec<SlotKey>,
 }
 
 /// The parts of an HTTP request that the server uses.
@@ -158,7 +172,7 @@
 impl ControlServer {
     /// Creates a server without connections. `cluster` is the name of the cluster in discovery responses.
     pub fn new(cluster: String) -> ControlServer {
-        ControlServer { connections: Slab::default(), cluster }
+        ControlServer { connections: Slab::default(), cluster, unread: Vec::new() }
     }
 
     /// Adds an accepted connection. Answers an agent check at once, because its client need not send a request.
@@ -170,9 +184,7 @@
         context: &mut BackendContext,
     ) {
         if self.connections.len() >= MAX_CONNECTIONS {
-            // Drops the connection: load balancers and proxies are few, and the remaining file descriptors are reserved
-            // for clients and engines.
-            return;
+            self.remove_least_active();
         }
         let key = self.connections.insert(Connection {
             socket: BufferedSocket::new(stream),
@@ -193,6 +205,21 @@
         self.ready(key, view, context);
     }
 
+    /// Drops the connection that has been inactive for longest. Load balancers and proxies are few and connect again, so
+    /// at the limit most connections are not theirs.
+    fn remove_least_active(&mut self) {
+        let connections = self.connections.iter();
+        let least = connections.min_by(|a, b| a.1.last_activity.total_cmp(&b.1.last_activity));
+        if let Some(key) = least.map(|(key, _)| key) {
+            self.connections.remove(key);
+        }
+    }
+
+    /// Removes and returns the connections with requests or input left, which get no further event from the poll.
+    pub fn take_unread(&mut self) -> Vec<SlotKey> {
+        std::mem::take(&mut self.unread)
+    }
+
     /// Handles readiness of a connection's socket, and drops the connection if it has failed or ended.
     pub fn ready(&mut self, key: SlotKey, view: &NodeStatus, context: &mut BackendContext) {
         if self.process_socket(key, view, context).is_none() {
@@ -209,10 +236,15 @@
         context: &mut BackendContext,
     ) -> Option<()> {
         let connection = self.connections.get_mut(key)?;
-        connection.last_activity = context.now;
+        // Input behind the last request is no activity, so that a peer that goes on writing is dropped in time.
+        if !connection.is_closing {
+            connection.last_activity = context.now;
+        }
         connection.socket.flush().ok()?;
         let end = connection.socket.read(MAX_HEAD_BYTES + MAX_BODY_BYTES).ok()?;
-        while !connection.is_closing && connection.kind == ControlProtocol::Http {
+        let mut requests = 0;
+        while connection.takes_requests() && requests < REQUESTS_PER_TURN {
+            requests += 1;
             let (status, body, head_only) = match parse_request(&connection.socket.input) {
                 ParseResult::Incomplete => break,
                 ParseResult::Complete(request) => {
@@ -239,6 +271,8 @@
                 connection.socket.queue_write(body.as_bytes());
             }
         }
+        let is_stopped_by_limit =
+            requests == REQUESTS_PER_TURN || connection.socket.unsent_bytes() > MAX_UNWRITTEN_BYTES;
         if connection.is_closing {
             connection.socket.consume(connection.socket.input.len());
         }
@@ -246,6 +280,12 @@
         if connection.is_closing && connection.socket.unsent_bytes() == 0 {
             connection.socket.shutdown_write();
         }
+        let has_input =
+            connection.socket.read_limit_reached() && (connection.is_closing || connection.takes_requests());
+        let has_requests = is_stopped_by_limit && connection.takes_requests();
+        if (has_input || has_requests) && !self.unread.contains(&key) {
+            self.unread.push(key);
+        }
         (end == ReadStatus::Open).then_some(())
     }
 
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -23,11 +23,14 @@
         let poll_started = self.clock.now();
         let unread_clients = self.jsonrpc.take_unread();
         let unread_sessions = self.mysql.as_mut().map(|(front, _)| front.take_unread()).unwrap_or_default();
+        let unread_control = self.control.take_unread();
         let unread_closing = self.closing.take_unread();
         let time_to_timer =
             self.timers.next_deadline().map_or(f64::INFINITY, |at| (at - poll_started).max(0.0));
-        let has_unread =
-            !unread_clients.is_empty() || !unread_sessions.is_empty() || !unread_closing.is_empty();
+        let has_unread = !unread_clients.is_empty()
+            || !unread_sessions.is_empty()
+            || !unread_control.is_empty()
+            || !unread_closing.is_empty();
         let max_wait = if has_unread { Duration::ZERO } else { max_wait };
         let ignores_timers = self.clock.is_manual() && time_to_timer > 0.0;
         let wait = if ignores_timers { max_wait } else { max_wait.min(millis(time_to_timer)) };
@@ -46,7 +49,8 @@
         // that floods its connection does not delay the others.
         let unread_sessions = unread_sessions.into_iter().map(SocketOwner::Mysql);
         let unread_closing = unread_closing.into_iter().map(SocketOwner::Closing);
-        let unread = unread_sessions.chain(unread_closing);
+        let unread_control = unread_control.into_iter().map(SocketOwner::Control);
+        let unread = unread_sessions.chain(unread_control).chain(unread_closing);
         for (owner, read_closed) in ready.into_iter().chain(unread.map(|owner| (owner, false))) {
             let now = self.clock.now();
             self.handle_socket(owner, read_closed, now, sent_at);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -9,6 +9,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 const CONTROL: &str =
     r#""listen":"127.0.0.1:0","control":{"http":"127.0.0.1:0","agent":"127.0.0.1:0","cluster":"boxes"},"#;
@@ -249,3 +250,42 @@
     child.wait().unwrap();
     std::fs::remove_file(config_path("hup")).unwrap();
 }
+
+// Guards against a connection that stops: requests beyond what one read takes were answered only if more bytes came.
+#[test]
+fn all_requests_that_a_peer_pipelines_are_answered() {
+    const REQUESTS: usize = 10_000;
+    let mut stage = Stage::new(1, CONTROL);
+    let address = stage.node.control_address(ControlProtocol::Http).expect("the listener is open");
+    let mut peer = Peer::new(TcpStream::connect(address).expect("the connect failed"));
+    let request = "GET /health/live HTTP/1.1\r\n\r\n";
+    let bytes = request.repeat(REQUESTS);
+    let node = &mut stage.node;
+    peer.push_while(bytes.as_bytes(), || {
+        node.poll_once(Duration::from_millis(1)).expect("the event loop failed")
+    });
+    stage.expect("all responses", |_| {
+        peer.pull();
+        assert!(!peer.closed, "the connection was closed");
+        peer.input.windows(6).filter(|bytes| bytes == b"alive\n").count() == REQUESTS
+    });
+}
+
+// Guards against a node that balancers take for dead: held connections kept every new health check out.
+#[test]
+fn health_checks_are_answered_while_others_hold_all_connections() {
+    let mut stage = Stage::new(1, CONTROL);
+    let address = stage.node.control_address(ControlProtocol::Http).expect("the listener is open");
+    let held: Vec<Peer> = (0..40)
+        .map(|_| {
+            let mut peer = Peer::new(TcpStream::connect(address).expect("the connect failed"));
+            peer.push(b"GET /health");
+            stage.turn();
+            stage.clock.set(stage.clock.now() + 1.0);
+            peer
+        })
+        .collect();
+    assert!(get(&mut stage, "/health/live").starts_with("HTTP/1.1 200 OK\r\n"));
+    assert_eq!(ask(&mut stage, ControlProtocol::Agent, "", ""), "ready up 100%\n");
+    drop(held);
+}
