Consensus: incomplete large frames of all connections share one limit on memory

Frames over 16 kB that a server is reading share 16 MB now and wait for their memory before their first byte is read; smaller ones never wait.

--- a/crates/consensus/src/connection/server.rs
+++ b/crates/consensus/src/connection/server.rs
@@ -1,6 +1,7 @@
 //! The server side of connections, which accepts them and responds to requests.
 
 use super::client::TrafficCounters;
+use super::frame::{read_frame_within, FrameMemory};
 use super::{
     read_frame, write_frame, ConnectionError, Handshake, HandshakeMismatch, PeerRequest,
     PeerResponse, FRAME_TIMEOUT, MAX_FRAME_BYTES, MAX_HANDSHAKE_BYTES,
@@ -34,6 +35,7 @@
     F: Future<Output = PeerResponse> + Send,
 {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let memory = Arc::new(FrameMemory::new());
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -45,8 +47,9 @@
         let mismatch = mismatch.clone();
         let traffic = traffic.clone();
         let respond = respond.clone();
+        let memory = memory.clone();
         tokio::spawn(async move {
-            match serve_connection(stream, mismatch, &traffic, respond).await {
+            match serve_connection(stream, mismatch, &traffic, &memory, respond).await {
                 // Connections end with I/O errors in normal operation, when peers stop or restart.
                 Ok(()) | Err(ConnectionError::Io(_)) => {}
                 Err(error) => {
@@ -63,6 +66,7 @@
     mut stream: TcpStream,
     mismatch: impl Fn(&Handshake) -> Option<HandshakeMismatch>,
     traffic: &TrafficCounters,
+    memory: &FrameMemory,
     respond: R,
 ) -> Result<(), ConnectionError>
 where
@@ -72,7 +76,7 @@
     stream.set_nodelay(true)?;
     accept_handshake(&mut stream, mismatch).await?;
     loop {
-        let request = read_frame::<PeerRequest>(&mut stream, MAX_FRAME_BYTES);
+        let request = read_frame_within::<PeerRequest>(&mut stream, MAX_FRAME_BYTES, memory);
         let Ok(request) = timeout(IDLE_TIMEOUT, request).await else {
             return Ok(());
         };
