xDS: request messages that have arrived in part share one limit on memory

Measured: the new test of crates/xds/tests/transport.rs (10 streams with 300 kB each, 1 MB allowed: 3 stay, a sound stream is served) fails with the limit taken out: all 10 stay.

--- a/crates/xds/src/transport/mod.rs
+++ b/crates/xds/src/transport/mod.rs
@@ -3,18 +3,22 @@
 //! polled by the event loop itself.
 
 mod conn;
+mod partial_messages;
 mod service;
 
 use crate::core::picture::{Picture, Terms};
 use crate::core::plane::{Plane, Told};
 use crate::core::stream::StreamError;
 use conn::ConnectionLimiter;
+use partial_messages::PartialMessages;
 use service::{AdsService, LrsService};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{oneshot, watch, Notify};
+use tonic::body::Body;
+use tower::util::MapRequestLayer;
 
 use crate::envoy::service::discovery::v3::aggregated_discovery_service_server::AggregatedDiscoveryServiceServer;
 use crate::envoy::service::load_stats::v3::load_reporting_service_server::LoadReportingServiceServer;
@@ -45,6 +49,8 @@
     pub conns_most: usize,
     /// The maximum size of a request message, in bytes.
     pub message_most: usize,
+    /// The maximum size of all request messages together that have arrived in part, in bytes.
+    pub partial_most: usize,
     /// The time after which a connection without a stream is closed, in milliseconds.
     pub idle_ms: f64,
 }
@@ -53,7 +59,14 @@
     /// Creates a server configuration with default limits.
     pub fn new(listen: SocketAddr, terms: Terms) -> Service {
         let conns_most = terms.streams_most + 64;
-        Service { listen, terms, conns_most, message_most: 1 << 20, idle_ms: 30_000.0 }
+        Service {
+            listen,
+            terms,
+            conns_most,
+            message_most: 1 << 20,
+            partial_most: 16 << 20,
+            idle_ms: 30_000.0,
+        }
     }
 }
 
@@ -179,7 +192,10 @@
     let incoming = limiter.clone().accept(tokio::net::TcpListener::from_std(listener)?);
     let ads = AggregatedDiscoveryServiceServer::new(AdsService(shared.clone()));
     let lrs = LoadReportingServiceServer::new(LrsService(shared.clone()));
+    let partial = PartialMessages::new(service.partial_most);
+    let limit_partial = move |request: http::Request<Body>| request.map(|body| partial.limit(body));
     let server = tonic::transport::Server::builder()
+        .layer(MapRequestLayer::new(limit_partial))
         .http2_keepalive_interval(Some(KEEPALIVE))
         .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
         .max_concurrent_streams(Some(STREAMS_PER_CONN))
--- a/crates/xds/tests/transport.rs
+++ b/crates/xds/tests/transport.rs
@@ -140,3 +140,50 @@
         assert!(!matches!(link.next().await, Ok(Some(_))), "the stream has ended");
     });
 }
+
+/// Opens a stream on a connection of its own, and sends the first `sent` bytes of a message of `length` bytes.
+async fn partial_message(
+    address: std::net::SocketAddr,
+    length: u32,
+    sent: usize,
+) -> h2::SendStream<bytes::Bytes> {
+    let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let (mut client, connection) = h2::client::handshake(stream).await.unwrap();
+    tokio::spawn(connection);
+    let path = "envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources";
+    let request = http::Request::post(format!("http://{address}/{path}"));
+    let request = request.header("content-type", "application/grpc").header("te", "trailers").body(());
+    let (response, mut body) = client.send_request(request.unwrap(), false).unwrap();
+    tokio::spawn(async move { (client, response.await).1.is_ok() });
+    let prefix = [&[0], &length.to_be_bytes()[..]].concat();
+    body.send_data([prefix, vec![b'x'; sent]].concat().into(), false).unwrap();
+    body
+}
+
+// Guards against a process that is killed for its memory: each stream could hold a largest message of which only a part
+// had arrived.
+#[test]
+fn streams_that_stop_inside_large_messages_share_a_limit_and_leave_the_others_alone() {
+    on_runtime(async {
+        let handle = service(|s| {
+            (s.terms.streams_most, s.terms.ack_ms, s.partial_most) = (100, 60_000.0, 1 << 20);
+        });
+        let channel = connect(&handle.address.to_string()).await.unwrap();
+        let mut well = Link::open(channel.clone(), "well", Variant::World, asks()).await.unwrap();
+        assert!(well.next().await.unwrap().is_some());
+        let mut partial = Vec::new();
+        for _ in 0..10 {
+            partial.push(partial_message(handle.address, 600_000, 300_000).await);
+        }
+        // Three partial messages fit, beside the sound stream.
+        until(&handle, r#""streams":4"#).await;
+        let mut later = Link::open(channel, "later", Variant::Delta, asks()).await.unwrap();
+        assert!(later.next().await.unwrap().is_some());
+        // A stream that ends gives its memory back.
+        partial.clear();
+        until(&handle, r#""streams":2"#).await;
+        let next = partial_message(handle.address, 600_000, 300_000).await;
+        until(&handle, r#""streams":3"#).await;
+        drop(next);
+    });
+}
