MySQL: a connection whose session may have changed is closed before anybody else gets it

A connection is closed after a statement that may change its session (all but reads and plain writes), and after a response whose flags tell of an open transaction.

--- a/src/node/backend/mysql/mod.rs
+++ b/src/node/backend/mysql/mod.rs
@@ -96,6 +96,8 @@
     /// `KILL QUERY` that this connection has to send.
     kill: Option<Kill>,
     answer: Vec<u8>,
+    /// Whether the last response left a transaction open, or autocommit off.
+    in_transaction: bool,
 }
 
 fn statement_key(payload: &Payload) -> StatementKey {
@@ -257,8 +259,8 @@
         }
     }
 
-    /// Ends the attempt on a connection and makes the connection available for the next command, unless its default
-    /// schema is no longer known.
+    /// Ends the attempt on a connection and makes the connection available for the next command, unless the state of its
+    /// session is no longer known: the next command may be that of another client.
     fn end_attempt(
         &mut self,
         key: SlotKey,
@@ -268,16 +270,16 @@
     ) -> AfterPacket {
         let Some(conn) = self.connections.get_mut(key) else { return AfterPacket::Close };
         conn.answer = Vec::new();
-        let mut is_schema_known = true;
+        let mut is_session_known = !conn.in_transaction;
         if let Some(job) = conn.job.take() {
-            is_schema_known = !(job.sent && job.payload.drops_schema);
+            is_session_known &= !(job.sent && job.payload.may_change_session);
             self.placements.remove(&job.attempt);
             let ended = FinishedAttempt { response, ..FinishedAttempt::bare(job.attempt, outcome) };
             context.events.push(DispatcherEvent::AttemptEnded(ended));
         }
         conn.advance(context.now);
         let serving = self.engines.serving(&conn.engine).is_some();
-        if is_schema_known && (serving || conn.kill.is_some()) {
+        if is_session_known && (serving || conn.kill.is_some()) {
             AfterPacket::KeepOpen
         } else {
             AfterPacket::Close
--- a/src/node/backend/mysql/pool.rs
+++ b/src/node/backend/mysql/pool.rs
@@ -85,6 +85,7 @@
             job: None,
             kill: None,
             answer: Vec::new(),
+            in_transaction: false,
         });
         engine.connections.push(key);
         let watched =
--- a/src/node/backend/mysql/wire.rs
+++ b/src/node/backend/mysql/wire.rs
@@ -65,6 +65,7 @@
                         AfterPacket::Close
                     }
                     PacketEffect::Done => {
+                        conn.in_transaction = mysql_packets::leaves_transaction(body);
                         let answer = std::mem::take(&mut conn.answer);
                         self.end_attempt(key, Outcome::Served, Some(FinalResponse::Served(answer)), context)
                     }
--- a/src/node/dispatcher/request.rs
+++ b/src/node/dispatcher/request.rs
@@ -46,8 +46,8 @@
     pub bound: Option<BoundParameters>,
     /// Default schema for unqualified names, if the client has selected one.
     pub schema: Option<String>,
-    /// Whether the statement drops a schema. A MySQL server also unsets the default schema of a connection that drops it.
-    pub drops_schema: bool,
+    /// Whether the statement may change the session of the connection on which a MySQL server runs it.
+    pub may_change_session: bool,
 }
 
 impl Payload {
--- a/src/node/front/mysql/run.rs
+++ b/src/node/front/mysql/run.rs
@@ -56,8 +56,8 @@
             return session.send_unsupported(sequence, feature.0);
         }
         let (statement, schema) = (text.to_vec(), session.schema.clone());
-        let drops_schema = statement::drops_schema(&words);
-        let payload = Payload { statement, bound: None, schema, drops_schema };
+        let may_change_session = statement::may_change_session(&words);
+        let payload = Payload { statement, bound: None, schema, may_change_session };
         self.dispatch(key, sequence, payload, &words, context);
     }
 
@@ -73,8 +73,8 @@
             Ok(bound) => {
                 let (text, schema) = (statement.text.clone(), statement.schema.clone());
                 let words = statement::words(&text);
-                let drops_schema = statement::drops_schema(&words);
-                let payload = Payload { statement: text, bound: Some(bound), schema, drops_schema };
+                let may_change_session = statement::may_change_session(&words);
+                let payload = Payload { statement: text, bound: Some(bound), schema, may_change_session };
                 self.dispatch(key, sequence, payload, &words, context);
             }
             Err(code) if code == UNSUPPORTED.0 => session.send_unsupported(sequence, "a cursor"),
--- a/src/node/front/mysql/statement.rs
+++ b/src/node/front/mysql/statement.rs
@@ -13,6 +13,8 @@
 /// Longest identifier of MySQL, in characters. A longer quoted text is a string, which is cut at this length.
 const MAX_NAME_CHARS: usize = 64;
 
+/// First words of statements that read.
+const READS: &[&str] = &["SELECT", "SHOW", "EXPLAIN", "DESCRIBE", "DESC", "VALUES", "TABLE", "WITH"];
 /// System variables that hold what an earlier statement of the session has left.
 const VARIABLES_OF_EARLIER_STATEMENTS: &[&str] =
     &["WARNING_COUNT", "ERROR_COUNT", "IDENTITY", "LAST_INSERT_ID", "LAST_GTID", "IN_TRANSACTION"];
@@ -201,20 +203,20 @@
     })
 }
 
-/// Whether a statement drops a schema.
-pub fn drops_schema(words: &[String]) -> bool {
-    match words.iter().position(|word| word != ";").map(|first| &words[first..]) {
-        Some([verb, object, ..]) => verb == "DROP" && (object == "DATABASE" || object == "SCHEMA"),
-        _ => false,
-    }
+/// Whether a statement may change the session in which a server runs it, beyond what its response tells: a procedure can
+/// set variables, take locks, create temporary tables or leave a transaction open, and dropping a schema unsets the
+/// default schema. Only statements that are known not to are excepted.
+pub fn may_change_session(words: &[String]) -> bool {
+    const WRITES: &[&str] = &["INSERT", "UPDATE", "DELETE", "REPLACE", "ALTER", "TRUNCATE"];
+    let first = words.iter().find(|word| *word != "(" && *word != ";").map_or("", String::as_str);
+    !READS.contains(&first) && !WRITES.contains(&first)
 }
 
 /// Whether a statement is read-only, so that it can safely run again.
 pub fn is_read_only(words: &[String]) -> bool {
-    const OPENS: &[&str] = &["SELECT", "SHOW", "EXPLAIN", "DESCRIBE", "DESC", "VALUES", "TABLE", "WITH"];
     const WRITES: &[&str] =
         &["INSERT", "UPDATE", "DELETE", "REPLACE", "INTO", "CALL", "LOCK", "NEXTVAL", "SETVAL", "ANALYZE"];
     let first = words.iter().find(|w| *w != "(").map_or("", String::as_str);
     let assigns = words.windows(2).any(|w| w[0] == ":" && w[1] == "=");
-    OPENS.contains(&first) && !assigns && !words.iter().any(|w| WRITES.contains(&w.as_str()))
+    READS.contains(&first) && !assigns && !words.iter().any(|w| WRITES.contains(&w.as_str()))
 }
--- a/src/node/mysql_packets.rs
+++ b/src/node/mysql_packets.rs
@@ -127,6 +127,25 @@
     Broken,
 }
 
+/// Whether the last packet of a response, an OK or EOF packet, tells that a transaction is open or autocommit is off.
+pub fn leaves_transaction(body: &[u8]) -> bool {
+    let status = match body.split_first() {
+        Some((0, rest)) => status_of_ok(rest),
+        _ => body.get(3..),
+    };
+    let status = status.and_then(|status| status.first_chunk::<2>()).map_or(0, |s| u16::from_le_bytes(*s));
+    let status = StatusFlags::from_bits_truncate(status);
+    status.contains(StatusFlags::SERVER_STATUS_IN_TRANS)
+        || !status.contains(StatusFlags::SERVER_STATUS_AUTOCOMMIT)
+}
+
+/// The bytes of an OK packet from its status flags on: they come after the affected rows and the last inserted id.
+fn status_of_ok(body: &[u8]) -> Option<&[u8]> {
+    let (_, rows) = length_encoded(body)?;
+    let (_, id) = length_encoded(body.get(rows..)?)?;
+    body.get(rows + id..)
+}
+
 impl ResponseState {
     /// Updates the state with the next packet body.
     pub fn advance(&mut self, body: &[u8]) -> PacketEffect {
@@ -147,11 +166,7 @@
                 (ResponseState::Columns(left - 1), PacketEffect::More)
             }
             (_, Some(0xff)) => (ResponseState::Head, PacketEffect::Error),
-            (ResponseState::Head, Some(0)) => {
-                let rows = length_encoded(&body[1..]).map_or(0, |(_, n)| n);
-                let id = body.get(1 + rows..).and_then(length_encoded).map_or(0, |(_, n)| n);
-                end(more(body.get(1 + rows + id..)))
-            }
+            (ResponseState::Head, Some(0)) => end(more(status_of_ok(&body[1..]))),
             (ResponseState::Head, Some(_)) => match length_encoded(body) {
                 Some((columns, _)) => (ResponseState::Columns(columns), PacketEffect::More),
                 None => (*self, PacketEffect::Broken),
--- a/tests/common/boxes.rs
+++ b/tests/common/boxes.rs
@@ -28,6 +28,8 @@
     Drop,
     /// Responds with an ERR packet with this error code.
     Error(u16),
+    /// Answers with an OK packet that tells of an open transaction.
+    OpenTransaction,
     /// Discards the session's prepared statements first, so that the execution fails with "unknown statement".
     Forget,
 }
@@ -46,6 +48,8 @@
     pub database: Option<String>,
     pub text: String,
     pub bound: Vec<u8>,
+    /// The node's end of the connection.
+    pub connection: Option<std::net::SocketAddr>,
 }
 
 /// A prepared statement. As in MySQL, its unqualified table names belong to the database that was the default when it
@@ -58,6 +62,7 @@
 
 #[derive(Default)]
 struct Session {
+    connection: Option<std::net::SocketAddr>,
     logged_in: bool,
     greeted: bool,
     database: Option<String>,
@@ -206,6 +211,7 @@
     fn serve(&mut self, house: usize, peer: &mut Peer) -> bool {
         let key = (house, peer.address());
         let mut session = self.sessions.remove(&key).unwrap_or_default();
+        session.connection = Some(key.1);
         if !session.greeted {
             session.greet(peer);
         }
@@ -286,16 +292,21 @@
         let mut out = Vec::new();
         let Prepared { text, database } = statement;
         session.change_database(&text);
-        let returns_ok = ["insert", "use", "drop"].iter().any(|verb| text.starts_with(verb));
+        let returns_ok = ["insert", "use", "drop", "call"].iter().any(|verb| text.starts_with(verb));
         let answer = match &database {
             _ if text != WHICH_DATABASE => format!("box {house}"),
             Some(database) => database.clone(),
             None => NO_DATABASE.to_owned(),
         };
-        self.runs.push(Run { house, database, text, bound });
+        let connection = session.connection;
+        self.runs.push(Run { house, database, text, bound, connection });
         match self.next.pop().unwrap_or(Next::Answer) {
             Next::Answer | Next::Forget if returns_ok => append_packet(&mut out, 1, &ok()),
             Next::Answer | Next::Forget => out = result(&answer, binary),
+            Next::OpenTransaction => {
+                let status = StatusFlags::SERVER_STATUS_AUTOCOMMIT | StatusFlags::SERVER_STATUS_IN_TRANS;
+                append_packet(&mut out, 1, &[&[0, 0, 0][..], &status.bits().to_le_bytes(), &[0, 0]].concat());
+            }
             Next::Hold => {}
             Next::Drop => return None,
             Next::Error(code) => append_packet(&mut out, 1, &error(code, "HY000", "the box's own words")),
