Fronts: idle MySQL sessions make room for new clients, and a pause in accepting is told

Only JSON-RPC clients made room. The client of either front that is idle for longest does now, after the new connection has been accepted; MySQL sessions that are owed an answer or wait to execute stay, and those with prepared statements go last.

--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -6,6 +6,25 @@
 use mio::event::Event;
 use std::collections::VecDeque;
 
+/// Disconnects the client of either front that is idle for longest, unless all must stay.
+fn make_room(
+    jsonrpc: &mut JsonRpc,
+    mysql: Option<&mut MysqlFront>,
+    sent_at: f64,
+    context: &mut BackendContext,
+) {
+    let jsonrpc_since = jsonrpc.evictable_since(context.now).unwrap_or(f64::INFINITY);
+    let Some(mysql) = mysql else {
+        jsonrpc.make_room(sent_at, context);
+        return;
+    };
+    let is_mysql_first = mysql.evictable_since(context.now).is_some_and(|since| since < jsonrpc_since);
+    let has_room = is_mysql_first && mysql.make_room(context);
+    if !has_room && !jsonrpc.make_room(sent_at, context) {
+        mysql.make_room(context);
+    }
+}
+
 /// Name of an engine's state in the log.
 fn state_in_log(state: crate::EngineState) -> &'static str {
     match state {
@@ -166,12 +185,18 @@
             };
             let clients = jsonrpc.len() + mysql.as_ref().map_or(0, |(front, _)| front.len()) + closing.len();
             let mut context = BackendContext { now, registry: poll.registry(), timers, closing, events, log };
-            // At the limit on client connections, an idle client or one that never sent a request is disconnected to
-            // make room for the new one.
-            let is_full = clients >= self.client_sockets
-                && !context.closing.evict(context.timers)
-                && !jsonrpc.make_room(sent_at, &mut context);
-            let accepted = if is_full { Err(ErrorKind::QuotaExceeded.into()) } else { listener.accept() };
+            // At the limit on client connections, an idle client or one that never sent a request makes room for the
+            // new one. While all must stay, new connections wait in the listen backlog.
+            let is_full = clients >= self.client_sockets;
+            let mysql_front = mysql.as_mut().map(|(front, _)| front);
+            let may_accept = !is_full
+                || !context.closing.is_empty()
+                || jsonrpc.evictable_since(now).is_some()
+                || mysql_front.as_ref().is_some_and(|front| front.evictable_since(now).is_some());
+            let accepted = if may_accept { listener.accept() } else { Err(ErrorKind::QuotaExceeded.into()) };
+            if is_full && accepted.is_ok() && !context.closing.evict(context.timers) {
+                make_room(jsonrpc, mysql_front, sent_at, &mut context);
+            }
             match accepted {
                 Ok((stream, _)) => {
                     shutdown.iter_mut().for_each(|shutdown| shutdown.accepted(now));
@@ -186,6 +211,10 @@
                     // File descriptors or the limit on client connections are exhausted: new connections wait in the
                     // listen backlog until the pause is over.
                     self.accept_paused = true;
+                    if now - self.accept_pause_logged_at >= ACCEPT_PAUSE_LOG_MS {
+                        self.accept_pause_logged_at = now;
+                        self.log.push(format!("accept: paused clients={clients}"));
+                    }
                     self.timers.set(now + ACCEPT_PAUSE_MS, TimerEvent::ResumeAccept);
                 }
             }
--- a/src/node/front/jsonrpc/disconnect.rs
+++ b/src/node/front/jsonrpc/disconnect.rs
@@ -3,6 +3,14 @@
 use super::*;
 
 impl JsonRpc {
+    /// Time since which the client that would be disconnected next is idle, in milliseconds. `None` if all must stay.
+    pub fn evictable_since(&self, now: f64) -> Option<f64> {
+        let rank = |c: &Client| Some((c.eviction_rank(now)?, c.idle_since));
+        let candidates = self.clients.iter().filter_map(|(_, client)| rank(client));
+        let first = candidates.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        first.map(|(_, idle_since)| idle_since)
+    }
+
     /// Disconnects the client with the lowest eviction rank and, among equals, the one idle for longest. Returns
     /// `false` if all clients must stay.
     pub fn make_room(&mut self, sent_at: f64, context: &mut BackendContext) -> bool {
--- a/src/node/front/mysql/mod.rs
+++ b/src/node/front/mysql/mod.rs
@@ -3,6 +3,7 @@
 //! A prepared statement belongs to the client session: the front stores its text and parameter types.
 //! Each execution includes the text and the types, because it may run on any engine.
 //! Statements that would leave state in an engine's session are refused.
+mod eviction;
 mod login;
 mod run;
 mod session;
@@ -115,6 +116,8 @@
     statements: HashMap<u32, Statement>,
     next_statement: u32,
     requests: u64,
+    /// Time of the connect, the last command or the last response, in milliseconds.
+    idle_since: f64,
     /// Whether a further read is scheduled.
     is_unread: bool,
 }
@@ -188,6 +191,7 @@
             statements: HashMap::new(),
             next_statement: 1,
             requests: 0,
+            idle_since: context.now,
             is_unread: false,
         });
         let Some(session) = self.sessions.get_mut(key) else { return };
@@ -286,6 +290,9 @@
         if let Some(session) = self.sessions.get_mut(key) {
             session.socket.input = input;
             session.socket.consume(used);
+            if used > 0 && !matches!(session.phase, Phase::Greeted | Phase::AuthSwitched) {
+                session.idle_since = context.now;
+            }
         }
         after
     }
@@ -333,6 +340,7 @@
         };
         let Phase::Busy(sequence) = session.phase else { return };
         session.phase = Phase::Ready;
+        session.idle_since = context.now;
         match response {
             FinalResponse::Served(mut body) => {
                 mysql_packets::renumber(&mut body, sequence.wrapping_add(1));
--- a/src/node/front/mysql/session.rs
+++ b/src/node/front/mysql/session.rs
@@ -137,6 +137,10 @@
         STATEMENT_OVERHEAD_BYTES + self.text.len() + schema + self.types.len() + self.long_data_bytes
     }
 
+    pub(super) fn has_long_data(&self) -> bool {
+        !self.long_data.is_empty()
+    }
+
     /// Drops the long values that were received for the next execution.
     pub(super) fn clear_long_data(&mut self) {
         self.long_data.clear();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -51,6 +51,8 @@
 
 /// Delay before the next accept after an accept failed or clients reached their connection limit, in milliseconds.
 const ACCEPT_PAUSE_MS: f64 = 5.0;
+/// Least time between two log lines about a pause in accepting connections, in milliseconds.
+const ACCEPT_PAUSE_LOG_MS: f64 = 1000.0;
 /// Assumed network latency from a client to the node, in milliseconds. Clients are on the same local network. The
 /// value must not exceed the platform's grace for late responses.
 const TRANSIT_MS: f64 = 1.0;
@@ -75,6 +77,8 @@
     events: Events,
     listeners: Vec<(Front, TcpListener)>,
     accept_paused: bool,
+    /// When the log last told of a pause in accepting connections, in milliseconds.
+    accept_pause_logged_at: f64,
     client_sockets: usize,
     timers: TimerQueue,
     dispatcher: RequestDispatcher,
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -87,6 +87,7 @@
             events: Events::with_capacity(256),
             listeners,
             accept_paused: false,
+            accept_pause_logged_at: f64::NEG_INFINITY,
             client_sockets,
             timers: TimerQueue::default(),
             dispatcher,
--- a/tests/common/raw_session.rs
+++ b/tests/common/raw_session.rs
@@ -10,6 +10,10 @@
 use mysql_common::proto::MySerialize;
 use mysql_common::scramble::scramble_native;
 use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// Time for which a test waits for a response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// The commands that the tests write, by the names of the protocol.
 pub const COM_INIT_DB: u8 = 2;
@@ -66,11 +70,13 @@
 
     /// The body of the next packet, once it has arrived.
     pub fn response(&mut self, boxes: &mut Boxes) -> Vec<u8> {
+        let started = Instant::now();
         loop {
             if let Some(body) = self.next_packet() {
                 return body;
             }
             assert!(!self.peer.closed, "the session was closed");
+            assert!(started.elapsed() < RESPONSE_TIMEOUT, "no response");
             boxes.turn();
             self.peer.pull();
         }
