--- a/src/node/backend/line_protocol/connection_io.rs
+++ b/src/node/backend/line_protocol/connection_io.rs
@@ -155,6 +155,16 @@
         Ok(())
     }
 
+    /// Ends the unsent attempts of a connection as overloaded, since the engine has not seen them.
+    pub(super) fn fail_unsent(&mut self, key: SlotKey, context: &mut BackendContext) {
+        let unsent = self.connections.get_mut(key).map(|conn| std::mem::take(&mut conn.unsent));
+        for queued in unsent.into_iter().flatten() {
+            self.placements.remove(&queued.attempt);
+            let ended = FinishedAttempt::bare(queued.attempt, Outcome::Overloaded);
+            context.events.push(DispatcherEvent::AttemptEnded(ended));
+        }
+    }
+
     /// Writes buffered output until the socket blocks. The next unsent attempt is buffered only once the output buffer
     /// is empty, so that an attempt can still be withdrawn as unsent when its engine starts draining.
     pub(super) fn flush(&mut self, key: SlotKey, context: &mut BackendContext) {
--- a/src/node/backend/line_protocol/mod.rs
+++ b/src/node/backend/line_protocol/mod.rs
@@ -200,16 +200,6 @@
         self.engines.address(id)
     }
 
-    /// Ends the unsent attempts of a connection as overloaded, since the engine has not seen them.
-    fn fail_unsent(&mut self, key: SlotKey, context: &mut BackendContext) {
-        let unsent = self.connections.get_mut(key).map(|conn| std::mem::take(&mut conn.unsent));
-        for queued in unsent.into_iter().flatten() {
-            self.placements.remove(&queued.attempt);
-            let ended = FinishedAttempt::bare(queued.attempt, Outcome::Overloaded);
-            context.events.push(DispatcherEvent::AttemptEnded(ended));
-        }
-    }
-
     /// Starts an attempt: queues it on a connection to its engine, or ends it if no connection is available.
     pub fn start(&mut self, start: AttemptStart, context: &mut BackendContext) {
         let at = start.attempt;
